Run on the users' platform: adapter, cell owner, deploy file

Cause: the product spoke only to its own stand-ins. platform/ holds the platform's names and calls; internal/cell has the owner (pure), the election over conditional appends and the driver of an entry VM.

--- a/cmd/gypsumwinchd/main.go
+++ b/cmd/gypsumwinchd/main.go
@@ -31,11 +31,15 @@
 	dev := flag.Bool("dev", false, "run with stand-ins for the platform, workers and backend servers in this process")
 	devConfig := flag.String("dev-config", "testdata/cluster.yaml", "with -dev: configuration to publish at the start")
 	devListen := flag.String("dev-listen", "127.0.0.1:7000", "with -dev: address for callers and operators")
+	onPlatform := flag.Bool("platform", false, "run on the users' platform with the settings that it provides")
 	flag.Parse()
 
 	// Later signals have no effect: a drain is not cut short.
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if *onPlatform {
+		return runOnPlatform(stop)
+	}
 	if *dev {
 		return runDev(stop, *devListen, *devConfig)
 	}
--- /dev/null
+++ b/internal/cell/election/election.go
@@ -0,0 +1,298 @@
+// Package election decides which entry VM owns the cell. The owner's record is a
+// chain of conditional appends to one topic: a claim or a beat is written only
+// where the topic still ends where its writer believes, so that two VMs never
+// both hold a term. A VM claims when the store answers and tells of no beat.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gypsumwinch/internal/cell"
+)
+
+// key is the only key of the owner's topic.
+const key = "owner"
+
+// Periods of the election.
+const (
+	// BeatEvery is the period of beats.
+	BeatEvery = 400 * time.Millisecond
+	// ClaimAfter is how long the store must tell of no beat before a claim: two
+	// beats may be missing. Outages are shorter than what an owner's end costs.
+	ClaimAfter = 1100 * time.Millisecond
+	// callTimeout bounds one call to the store. The slowest store seen answers
+	// after 0.35 s.
+	callTimeout = 600 * time.Millisecond
+	// retryPause follows a call that failed.
+	retryPause = 100 * time.Millisecond
+	// yieldFor is how long a VM that resigned leaves claims to others.
+	yieldFor = 5 * time.Second
+)
+
+// Record is the owner's record.
+type Record struct {
+	Term int64  `json:"t"`
+	Node string `json:"n"`
+	Addr string `json:"a"`
+	// Instance is new at each start of a process.
+	Instance string `json:"i"`
+	// Resigned is set by an owner that leaves.
+	Resigned bool `json:"r,omitempty"`
+}
+
+// Options configure an Election.
+type Options struct {
+	Node     string
+	Addr     string
+	Instance string
+	// Delay is added to ClaimAfter, so that better suited VMs claim first.
+	Delay time.Duration
+	// Now counts while the machine is suspended, too.
+	Now func() time.Duration
+	// Seen is called with each record of an owner.
+	Seen func(Record)
+	// Beaten is called when the store accepted a beat.
+	Beaten func()
+	// Log is called with lines about the election.
+	Log func(message string, details ...any)
+}
+
+// Election follows the owner's record and claims when there is no owner.
+type Election struct {
+	opts  Options
+	store cell.Store
+	next  int64
+	last  Record
+	// yieldUntil keeps a VM that resigned from claiming at once.
+	yieldUntil time.Duration
+}
+
+// New returns an election that has read nothing.
+func New(store cell.Store, opts Options) *Election {
+	return &Election{opts: opts, store: store}
+}
+
+// Last returns the newest record that was read.
+func (e *Election) Last() Record { return e.last }
+
+// Campaign follows the record until this VM owns the cell, and returns the term.
+func (e *Election) Campaign(ctx context.Context) (int64, error) {
+	loaded := false
+	for ctx.Err() == nil {
+		if !loaded {
+			if err := e.load(ctx); err != nil {
+				e.pause(ctx, retryPause)
+				continue
+			}
+			loaded = true
+		}
+		silent, err := e.follow(ctx)
+		if err == nil && e.ownsLast() {
+			// A claim without an answer was executed later.
+			return e.last.Term, nil
+		}
+		switch {
+		case errors.Is(err, cell.ErrExpired):
+			loaded = false
+			continue
+		case err != nil:
+			e.pause(ctx, retryPause)
+			continue
+		case !silent || e.opts.Now() < e.yieldUntil:
+			continue
+		}
+		term, won, err := e.claim(ctx)
+		if err != nil {
+			e.opts.Log("claim failed", "error", err.Error())
+			e.pause(ctx, retryPause)
+			continue
+		}
+		if won {
+			return term, nil
+		}
+	}
+	return 0, ctx.Err()
+}
+
+// load reads the newest record.
+func (e *Election) load(ctx context.Context) error {
+	batch, err := e.store.Newest(ctx, cell.TopicOwner)
+	if err != nil {
+		return err
+	}
+	e.take(batch)
+	e.next = max(batch.Next, 0)
+	return nil
+}
+
+// follow reads once and reports whether the store told of no beat for so long
+// that the owner must be gone.
+func (e *Election) follow(ctx context.Context) (silent bool, err error) {
+	wait := ClaimAfter + e.opts.Delay
+	if e.last.Resigned {
+		wait = e.opts.Delay
+	}
+	begin := e.opts.Now()
+	batch, err := e.store.Read(ctx, cell.TopicOwner, e.next, wait)
+	if err != nil {
+		return false, err
+	}
+	if len(batch.Records) > 0 {
+		e.take(batch)
+		e.next = batch.Next
+		return false, nil
+	}
+	// A store that answers early has not waited for a beat.
+	if rest := wait - (e.opts.Now() - begin); rest > 0 {
+		e.pause(ctx, rest)
+		return false, nil
+	}
+	return true, nil
+}
+
+// take remembers the newest record of a batch.
+func (e *Election) take(batch cell.Batch) {
+	for _, r := range batch.Records {
+		if r.Key != key {
+			continue
+		}
+		var rec Record
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
+			e.opts.Log("owner's record cannot be read", "error", err.Error())
+			continue
+		}
+		e.last = rec
+		e.opts.Seen(rec)
+	}
+}
+
+// ownsLast reports whether the newest record is this process's.
+func (e *Election) ownsLast() bool {
+	return e.last.Instance == e.opts.Instance && !e.last.Resigned
+}
+
+// claim tries to become the owner.
+func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
+	rec := Record{Term: e.last.Term + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
+	end, err := e.append(ctx, rec)
+	var conflict *cell.ConflictError
+	switch {
+	case err == nil:
+		e.next = end
+		e.last = rec
+		e.opts.Log("claimed the cell", "term", rec.Term, "offset", end)
+		return rec.Term, true, nil
+	case errors.As(err, &conflict):
+		// Another VM was first, or an own claim whose answer was lost.
+		return e.ownClaim(ctx, rec)
+	default:
+		return e.ownClaim(ctx, rec)
+	}
+}
+
+// ownClaim looks whether a claim without a plain answer was executed.
+func (e *Election) ownClaim(ctx context.Context, rec Record) (int64, bool, error) {
+	batch, err := e.store.Read(ctx, cell.TopicOwner, e.next, 0)
+	if err != nil {
+		return 0, false, err
+	}
+	if len(batch.Records) == 0 {
+		return 0, false, eris.New("the store has neither refused nor executed the claim")
+	}
+	e.take(batch)
+	e.next = batch.Next
+	won := e.last == rec
+	if won {
+		e.opts.Log("claimed the cell", "term", rec.Term, "answer", "lost")
+	}
+	return rec.Term, won, nil
+}
+
+// append appends a record where this VM believes that the topic ends.
+func (e *Election) append(ctx context.Context, rec Record) (int64, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode owner's record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return e.store.Append(ctx, cell.Append{
+		Topic:   cell.TopicOwner,
+		Records: []cell.KeyValue{{Key: key, Value: value}},
+		At:      e.next,
+	})
+}
+
+// ErrDeposed means that another VM owns the cell.
+var ErrDeposed = errors.New("another VM owns the cell")
+
+// Hold writes beats until the context ends or another VM has claimed.
+func (e *Election) Hold(ctx context.Context) error {
+	for ctx.Err() == nil {
+		e.pause(ctx, BeatEvery)
+		if err := e.beat(ctx); err != nil {
+			if errors.Is(err, ErrDeposed) {
+				return err
+			}
+			e.opts.Log("beat failed", "error", err.Error())
+			e.pause(ctx, retryPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// beat writes one beat. A conflict may be an own beat whose answer was lost.
+func (e *Election) beat(ctx context.Context) error {
+	rec := Record{Term: e.last.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
+	end, err := e.append(ctx, rec)
+	if err == nil {
+		e.next = end
+		e.opts.Beaten()
+		return nil
+	}
+	var conflict *cell.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	batch, err := e.store.Read(ctx, cell.TopicOwner, e.next, 0)
+	if errors.Is(err, cell.ErrExpired) {
+		batch, err = e.store.Newest(ctx, cell.TopicOwner)
+	}
+	if err != nil {
+		return err
+	}
+	e.take(batch)
+	e.next = batch.Next
+	if !e.ownsLast() {
+		return eris.Wrapf(ErrDeposed, "%s holds term %d", e.last.Node, e.last.Term)
+	}
+	e.opts.Beaten()
+	return nil
+}
+
+// Resign tells the others that this VM leaves the cell, and yields to them.
+func (e *Election) Resign(ctx context.Context) error {
+	e.yieldUntil = e.opts.Now() + yieldFor
+	rec := Record{Term: e.last.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true}
+	end, err := e.append(ctx, rec)
+	if err != nil {
+		return err
+	}
+	e.next, e.last = end, rec
+	return nil
+}
+
+// pause waits unless the context ends.
+func (e *Election) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/cell/node/frontend.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
+)
+
+const (
+	// submitTimeout bounds one append of a submission.
+	submitTimeout = 600 * time.Millisecond
+	// submitRetry is the pause before an append without an answer is repeated.
+	submitRetry = 50 * time.Millisecond
+	// answerMargin is kept of a caller's deadline for the answer to arrive.
+	answerMargin = 150 * time.Millisecond
+	// askOwnerTimeout bounds the owner's answer about a job.
+	askOwnerTimeout = 300 * time.Millisecond
+	// unreadLimit is how long this VM may not have read the store before it asks
+	// to be taken out of rotation.
+	unreadLimit = 1500 * time.Millisecond
+)
+
+// Config returns the configuration in force, or nil.
+func (n *Node) Config() *cell.Config {
+	return n.config.Load()
+}
+
+// Ready reports whether this VM wants new callers.
+func (n *Node) Ready() bool {
+	if n.draining.Load() || n.config.Load() == nil {
+		return false
+	}
+	if !n.jobs.loaded.Load() || !n.progress.loaded.Load() {
+		return false
+	}
+	if n.owning() != nil {
+		return true
+	}
+	return boot()-time.Duration(n.jobs.readAt.Load()) < unreadLimit
+}
+
+// Drain asks the balancer to send no more callers.
+func (n *Node) Drain() {
+	n.draining.Store(true)
+}
+
+// Submit records a job. A NotRunError means that it was certainly not recorded.
+func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
+	if _, known := n.mirror.state(job.ID); known {
+		n.count("submit", "repeated")
+		return nil
+	}
+	job.Accepted = time.Now()
+	value, err := cell.EncodeJob(job)
+	if err != nil {
+		return eris.Wrap(err, "encode job")
+	}
+	kv := cell.KeyValue{Key: cell.JobKey(job.ID), Value: value}
+	if err := n.appendJobs(ctx, kv); err != nil {
+		n.count("submit", outcomeOf(err))
+		n.log.Info("job is not accepted", "id", string(job.ID), "queue", job.Queue.Name, "outcome", outcomeOf(err), "error", err.Error())
+		return err
+	}
+	n.count("submit", "accepted")
+	n.takeJobs([]cell.KeyValue{kv})
+	return nil
+}
+
+func outcomeOf(err error) string {
+	var notRun *cell.NotRunError
+	if errors.As(err, &notRun) {
+		return "not_run"
+	}
+	return "unknown"
+}
+
+func (n *Node) count(operation, outcome string) {
+	n.metrics.requests.WithLabelValues(operation, outcome).Inc()
+}
+
+// appendJobs appends a record to topic jobs. Once an append was left without an
+// answer it may have been executed, so that a later refusal is no proof.
+func (n *Node) appendJobs(ctx context.Context, kv cell.KeyValue) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
+		defer cancel()
+	}
+	unknown := false
+	for {
+		err := n.appendJob(ctx, kv)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, cell.ErrNotDone) && !unknown {
+			return &cell.NotRunError{After: cell.ReturnSoon, Cause: err}
+		}
+		unknown = true
+		pause(ctx, submitRetry)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) appendJob(ctx context.Context, kv cell.KeyValue) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	_, err := n.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: []cell.KeyValue{kv}, At: -1})
+	return err
+}
+
+// State returns a job's state. The owner knows it first.
+func (n *Node) State(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+	state, known := n.mirror.state(id)
+	if known && state.Final() || n.owning() != nil && known {
+		n.count("state", "own")
+		return state, true, nil
+	}
+	if p := n.ownerPeer(); p != nil {
+		if s, ok := n.askOwner(ctx, p, id); ok {
+			n.count("state", "owner")
+			return s, true, nil
+		}
+	}
+	if known {
+		n.count("state", "own")
+		return state, true, nil
+	}
+	return n.lookUp(ctx, id)
+}
+
+// lookUp looks an unknown job up in the store.
+func (n *Node) lookUp(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+	if !n.jobs.loaded.Load() {
+		return 0, false, &cell.NotRunError{After: cell.ReturnSoon, Cause: eris.New("the jobs are not loaded yet")}
+	}
+	found, err := n.jobs.peek(ctx, cell.JobKey(id))
+	if err != nil {
+		n.count("state", "unknown")
+		return 0, false, &cell.NotRunError{After: cell.ReturnSoon, Cause: err}
+	}
+	n.count("state", "looked_up")
+	// The tail may have read the job while the store was asked.
+	if state, known := n.mirror.state(id); known {
+		return state, true, nil
+	}
+	return cell.StateQueued, found, nil
+}
+
+func (n *Node) askOwner(ctx context.Context, p cellpb.Cell, id cell.JobID) (cell.State, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askOwnerTimeout)
+	defer cancel()
+	resp, err := p.State(ctx, &cellpb.StateRequest{Job: string(id)})
+	if err != nil {
+		n.count("state", "owner_failed")
+		n.log.Debug("owner does not answer", "id", string(id), "error", err.Error())
+		return 0, false
+	}
+	if len(resp.State) != 1 {
+		return 0, false
+	}
+	return cell.State(resp.State[0]), true
+}
+
+// Cancel records that a job is to be cancelled.
+func (n *Node) Cancel(ctx context.Context, id cell.JobID) (bool, error) {
+	state, known, err := n.State(ctx, id)
+	if err != nil || !known {
+		return false, err
+	}
+	if state.Final() {
+		return true, nil
+	}
+	kv := cell.KeyValue{Key: cell.CancelKey(id), Value: []byte{'1'}}
+	if err := n.appendJobs(ctx, kv); err != nil {
+		n.count("cancel", outcomeOf(err))
+		n.log.Info("cancelling is not recorded", "id", string(id), "error", err.Error())
+		return false, err
+	}
+	n.count("cancel", "accepted")
+	n.takeJobs([]cell.KeyValue{kv})
+	return true, nil
+}
+
+// Pending counts a queue's jobs of which no task has started.
+func (n *Node) Pending(queue string) int {
+	return n.mirror.pending(queue)
+}
--- /dev/null
+++ b/internal/cell/node/mirror.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"bytes"
+	"sync"
+
+	"gypsumwinch/internal/cell"
+)
+
+// mirror is this VM's copy of topics jobs and progress. Of a job that is over
+// only the state is kept.
+type mirror struct {
+	mu   sync.Mutex
+	jobs map[cell.JobID]*entry
+	// live holds the jobs that are not over, for counts.
+	live map[cell.JobID]*entry
+}
+
+// entry is what the store holds of a job.
+type entry struct {
+	queue     string
+	submitted bool
+	cancelled bool
+	state     cell.State
+	// job and progress are the encoded records, progress with its first byte.
+	job      []byte
+	progress []byte
+	// openRuns is true if the progress of an ended job lists open runs.
+	openRuns bool
+	// finishedSeen is when a final state was seen, in boot time seconds.
+	finishedSeen int64
+}
+
+func newMirror() *mirror {
+	return &mirror{jobs: map[cell.JobID]*entry{}, live: map[cell.JobID]*entry{}}
+}
+
+// change is what a record changed.
+type change struct {
+	record cell.Record
+	// fresh is true if the record is not a repetition.
+	fresh bool
+}
+
+// apply takes one record over.
+func (m *mirror) apply(r cell.Record) change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(r.Value) == 0 {
+		delete(m.jobs, r.Job)
+		delete(m.live, r.Job)
+		return change{record: r}
+	}
+	e, ok := m.jobs[r.Job]
+	if !ok {
+		e = &entry{state: cell.StateQueued}
+		m.jobs[r.Job] = e
+		m.live[r.Job] = e
+	}
+	switch r.Kind {
+	case cell.RecordJob:
+		return change{record: r, fresh: e.setJob(r.Value)}
+	case cell.RecordCancel:
+		fresh := !e.cancelled
+		e.cancelled = true
+		return change{record: r, fresh: fresh}
+	default:
+		m.setProgress(r.Job, e, r.Value)
+		return change{record: r, fresh: true}
+	}
+}
+
+func (e *entry) setJob(value []byte) bool {
+	if e.submitted {
+		return false
+	}
+	e.submitted = true
+	e.queue = cell.RouteOf(value)
+	if !e.state.Final() || e.openRuns {
+		e.job = bytes.Clone(value)
+	}
+	return true
+}
+
+// openMark is how the encoding of progress lists open runs.
+var openMark = []byte(`"o":[`)
+
+func (m *mirror) setProgress(id cell.JobID, e *entry, value []byte) {
+	state := cell.State(value[0])
+	if e.state.Final() && !state.Final() {
+		// An older record, read after this VM was the owner.
+		return
+	}
+	e.state = state
+	e.openRuns = bytes.Contains(value, openMark)
+	e.progress = bytes.Clone(value)
+	if !e.state.Final() {
+		return
+	}
+	if e.finishedSeen == 0 {
+		e.finishedSeen = int64(boot().Seconds())
+	}
+	delete(m.live, id)
+	if !e.openRuns {
+		e.job, e.progress = nil, nil
+	}
+}
+
+// state returns a job's state as this VM knows it.
+func (m *mirror) state(id cell.JobID) (s cell.State, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.jobs[id]
+	if !ok {
+		return 0, false
+	}
+	if e.cancelled && !e.state.Final() {
+		return cell.StateCancelled, true
+	}
+	return e.state, true
+}
+
+// publish sets the state of a job that this VM has recorded as owner.
+func (m *mirror) publish(id cell.JobID, s cell.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.jobs[id]
+	if !ok {
+		return
+	}
+	e.state = s
+	if s.Final() {
+		delete(m.live, id)
+		if e.finishedSeen == 0 {
+			e.finishedSeen = int64(boot().Seconds())
+		}
+	}
+}
+
+// pending counts a queue's jobs of which no task has started.
+func (m *mirror) pending(queue string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, e := range m.live {
+		if e.queue == queue && e.state == cell.StateQueued && !e.cancelled {
+			n++
+		}
+	}
+	return n
+}
+
+// unfinished is a job that a new owner has to take over.
+type unfinished struct {
+	job       *cell.Job
+	progress  *cell.Progress
+	cancelled bool
+}
+
+// unfinishedJobs decodes the jobs that are not over, or of which runs are open.
+func (m *mirror) unfinishedJobs(report func(id cell.JobID, err error)) []unfinished {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []unfinished
+	for id, e := range m.jobs {
+		if e.job == nil || e.state.Final() && !e.openRuns {
+			continue
+		}
+		u := unfinished{cancelled: e.cancelled}
+		var err error
+		if u.job, err = cell.DecodeJob(id, e.job); err != nil {
+			report(id, err)
+			continue
+		}
+		if e.progress != nil {
+			if u.progress, err = cell.DecodeProgress(e.progress); err != nil {
+				report(id, err)
+				continue
+			}
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// expired returns up to most jobs that ended before a time in boot seconds.
+func (m *mirror) expired(before int64, most int) []cell.JobID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []cell.JobID
+	for id, e := range m.jobs {
+		if len(out) == most {
+			break
+		}
+		if e.state.Final() && !e.openRuns && e.finishedSeen != 0 && e.finishedSeen < before {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// size counts the jobs.
+func (m *mirror) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.jobs)
+}
--- /dev/null
+++ b/internal/cell/node/node.go
@@ -0,0 +1,281 @@
+// Package node runs an entry VM of a cell: it answers callers, follows the
+// store, and owns the cell while no other VM does.
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/internal/cell/election"
+	"gypsumwinch/internal/structs"
+)
+
+// Settings are a node's settings.
+type Settings struct {
+	Name       string
+	DataCentre string
+	// Peers is the address for other entry VMs.
+	Peers   string
+	Metrics string
+	// Processor is the share of a core that the VM has; larger VMs claim first.
+	Processor   float64
+	LeaseLimit  time.Duration
+	GangTimeout time.Duration
+	StatusKept  time.Duration
+	Grace       time.Duration
+	Far         float64
+}
+
+// Decoder decodes the records of others' topics.
+type Decoder interface {
+	// Config decodes a configuration; ok is false for records of other matters.
+	Config(key string, value []byte) (config *cell.Config, ok bool, err error)
+	Worker(key string, value []byte) (cell.Worker, error)
+}
+
+// Ports are a node's ways to the platform.
+type Ports struct {
+	Store   cell.Store
+	Workers cell.Workers
+	Advisor cell.Advisor
+	Decoder Decoder
+}
+
+// Node is one entry VM.
+type Node struct {
+	settings Settings
+	store    cell.Store
+	workers  cell.Workers
+	advisor  cell.Advisor
+	decoder  Decoder
+	log      hclog.Logger
+	metrics  *metrics
+	mirror   *mirror
+	instance string
+
+	config   atomic.Pointer[cell.Config]
+	jobs     *tail
+	progress *tail
+	configs  *tail
+	election *election.Election
+
+	// owner is the newest record of an owner.
+	owner   atomic.Pointer[election.Record]
+	mu      sync.Mutex
+	control *control
+	peers   map[string]cellpb.Cell
+	http    *http.Client
+
+	draining atomic.Bool
+	// ownCtx ends when this VM may own the cell no longer.
+	ownCtx     context.Context
+	stopOwning context.CancelFunc
+}
+
+// New returns a node that has not started. Log lines go to out.
+func New(settings Settings, ports Ports, out io.Writer) *Node {
+	n := &Node{
+		settings: settings,
+		store:    ports.Store,
+		workers:  ports.Workers,
+		advisor:  ports.Advisor,
+		decoder:  ports.Decoder,
+		log:      newLogger(out, settings.Name),
+		mirror:   newMirror(),
+		instance: ulid.Make().String(),
+		peers:    map[string]cellpb.Cell{},
+		http:     peerTransport(),
+	}
+	n.ownCtx, n.stopOwning = context.WithCancel(context.Background())
+	n.metrics = newMetrics(func() float64 { return float64(n.mirror.size()) })
+	n.jobs = n.newTail(cell.TopicJobs, n.takeJobs)
+	n.progress = n.newTail(cell.TopicProgress, n.takeProgress)
+	n.configs = n.newTail(cell.TopicConfig, n.takeConfigs)
+	n.election = election.New(n.store, election.Options{
+		Node:     settings.Name,
+		Addr:     settings.Peers,
+		Instance: n.instance,
+		Delay:    claimDelay(settings),
+		Now:      boot,
+		Seen:     n.ownerSeen,
+		Beaten:   n.beaten,
+		Log:      func(message string, details ...any) { n.log.Info(message, details...) },
+	})
+	return n
+}
+
+func (n *Node) newTail(topic cell.Topic, take func([]cell.KeyValue)) *tail {
+	return &tail{store: n.store, topic: topic, take: take, report: func(message string, details ...any) {
+		n.log.Info(message, details...)
+	}}
+}
+
+const (
+	// claimSpread is the longest delay of a claim, for the smallest VM.
+	claimSpread = 400 * time.Millisecond
+	// claimJitter separates VMs of one size.
+	claimJitter = 150 * time.Millisecond
+)
+
+// claimDelay lets VMs with more processor claim first.
+func claimDelay(s Settings) time.Duration {
+	delay := time.Duration(float64(claimSpread) * max(0, 1-s.Processor))
+	var sum int
+	for _, c := range s.Name {
+		sum = (sum*31 + int(c)) % 1009
+	}
+	return delay + claimJitter*time.Duration(sum)/1009
+}
+
+// Run runs the node until the context ends, then gives the ownership up.
+func (n *Node) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", n.settings.Peers)
+	if err != nil {
+		return &structs.Error{Step: "listen for peers", Peer: n.settings.Peers, Cause: err}
+	}
+	server := &http.Server{Handler: cellpb.NewCellServer(&rpcServer{node: n}), ReadHeaderTimeout: peerDialTimeout}
+	go func() {
+		if err := server.Serve(peers); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			n.log.Error("peers' server ended", "error", err.Error())
+		}
+	}()
+	defer server.Close()
+	n.serveMetrics(ctx)
+	n.log.Info("node starts", "data_centre", n.settings.DataCentre, "instance", n.instance)
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		n.followConfigs, n.followJobs, n.followProgress, n.campaign, n.greetOwner, n.collect,
+	} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+	n.log.Info("node has stopped")
+	return nil
+}
+
+// serveMetrics serves metrics; a node without them still works.
+func (n *Node) serveMetrics(ctx context.Context) {
+	if n.settings.Metrics == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", n.settings.Metrics)
+	if err != nil {
+		n.log.Error("metrics are not served", "address", n.settings.Metrics, "error", err.Error())
+		return
+	}
+	server := &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: peerDialTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			n.log.Error("metrics server ended", "error", err.Error())
+		}
+	}()
+	context.AfterFunc(ctx, func() { server.Close() })
+}
+
+func (n *Node) followConfigs(ctx context.Context) {
+	n.configs.follow(ctx, func() time.Duration { return configWait }, followEvery)
+}
+
+// configWait is how long a read waits for a configuration.
+const configWait = 20 * time.Second
+
+func (n *Node) followJobs(ctx context.Context) {
+	n.jobs.follow(ctx, func() time.Duration {
+		if n.owning() != nil {
+			return ownerWait
+		}
+		return 0
+	}, followEvery)
+}
+
+// followProgress reads the progress; the owner knows what it writes itself.
+func (n *Node) followProgress(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.owning() != nil {
+			pause(ctx, followEvery)
+			continue
+		}
+		_, err := n.progress.read(ctx, 0)
+		n.progress.logChange(err)
+		pause(ctx, followEvery)
+	}
+}
+
+// takeConfigs takes a newer configuration; versions never go back.
+func (n *Node) takeConfigs(records []cell.KeyValue) {
+	for _, r := range records {
+		config, ok, err := n.decoder.Config(r.Key, r.Value)
+		if err != nil {
+			n.log.Error("configuration cannot be read", "key", r.Key, "error", err.Error())
+			continue
+		}
+		if !ok {
+			continue
+		}
+		if old := n.config.Load(); old != nil && config.Version <= old.Version {
+			continue
+		}
+		n.config.Store(config)
+		n.log.Info("configuration is in force", "version", config.Version, "queues", len(config.Queues))
+	}
+}
+
+// takeJobs takes submissions and cancellings over, and passes new ones on to
+// the control loop if this VM owns the cell.
+func (n *Node) takeJobs(records []cell.KeyValue) {
+	for _, kv := range records {
+		r, err := cell.ParseRecord(kv.Key, kv.Value)
+		if err != nil {
+			n.log.Error("record of a job cannot be read", "error", err.Error())
+			continue
+		}
+		ch := n.mirror.apply(r)
+		// A new owner sets its control loop before it reads the mirror, so that a
+		// record is in the one or reaches the other.
+		if c := n.owning(); c != nil && ch.fresh {
+			c.passOn(r, n.log)
+		}
+	}
+}
+
+func (n *Node) takeProgress(records []cell.KeyValue) {
+	for _, kv := range records {
+		r, err := cell.ParseRecord(kv.Key, kv.Value)
+		if err != nil {
+			n.log.Error("record of progress cannot be read", "error", err.Error())
+			continue
+		}
+		n.mirror.apply(r)
+	}
+}
+
+// owning returns the control loop while this VM owns the cell.
+func (n *Node) owning() *control {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.control
+}
+
+func (n *Node) setControl(c *control) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.control = c
+}
+
+func (n *Node) ownerSeen(r election.Record) {
+	old := n.owner.Swap(&r)
+	if old == nil || old.Term != r.Term || old.Resigned != r.Resigned {
+		n.log.Info("owner of the cell", "owner", r.Node, "term", r.Term, "resigned", r.Resigned)
+	}
+}
--- /dev/null
+++ b/internal/cell/node/tail.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gypsumwinch/internal/cell"
+)
+
+const (
+	// followEvery is how often a VM that does not own the cell reads the topics;
+	// states must be visible within 3 s.
+	followEvery = 400 * time.Millisecond
+	// ownerWait is how long the owner's read waits for new jobs; a VM that takes
+	// over again waits for the read that is under way.
+	ownerWait = time.Second
+	// readRetry is the pause after a read that failed.
+	readRetry = 150 * time.Millisecond
+)
+
+// tail follows one topic.
+type tail struct {
+	store cell.Store
+	topic cell.Topic
+	// take is called with the records of each read, in order.
+	take func([]cell.KeyValue)
+	// loaded is called after the newest records of all keys were taken.
+	report func(message string, details ...any)
+
+	mu     sync.Mutex
+	next   atomic.Int64
+	loaded atomic.Bool
+	// readAt is when a read last succeeded, in boot time.
+	readAt atomic.Int64
+	// failing is true after a read that failed, so that only changes are logged.
+	failing atomic.Bool
+}
+
+// load reads the newest record of each key.
+func (t *tail) load(ctx context.Context) error {
+	batch, err := t.store.Newest(ctx, t.topic)
+	if err != nil {
+		return err
+	}
+	t.take(batch.Records)
+	t.next.Store(max(batch.Next, 0))
+	t.loaded.Store(true)
+	t.readAt.Store(int64(boot()))
+	t.report("topic is loaded", "topic", string(t.topic), "records", len(batch.Records), "next", batch.Next)
+	return nil
+}
+
+// read reads on once.
+func (t *tail) read(ctx context.Context, wait time.Duration) (more bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded.Load() {
+		return true, t.load(ctx)
+	}
+	batch, err := t.store.Read(ctx, t.topic, t.next.Load(), wait)
+	if errors.Is(err, cell.ErrExpired) {
+		return true, t.load(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	t.take(batch.Records)
+	t.next.Store(batch.Next)
+	t.readAt.Store(int64(boot()))
+	return batch.Next < batch.End, nil
+}
+
+// catchUp reads to the end.
+func (t *tail) catchUp(ctx context.Context) error {
+	for {
+		more, err := t.read(ctx, 0)
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// follow reads until the context ends. wait says how long the next read waits
+// for records; a read that does not wait is followed by a pause.
+func (t *tail) follow(ctx context.Context, wait func() time.Duration, every time.Duration) {
+	for ctx.Err() == nil {
+		w := wait()
+		more, err := t.read(ctx, w)
+		t.logChange(err)
+		switch {
+		case err != nil:
+			pause(ctx, readRetry)
+		case w == 0 && !more:
+			pause(ctx, every)
+		}
+	}
+}
+
+// logChange logs when reads begin to fail and when they succeed again.
+func (t *tail) logChange(err error) {
+	failing := err != nil && !errors.Is(err, context.Canceled)
+	if t.failing.Swap(failing) == failing {
+		return
+	}
+	if failing {
+		t.report("store cannot be read", "topic", string(t.topic), "error", err.Error())
+		return
+	}
+	t.report("store is read again", "topic", string(t.topic))
+}
+
+// peek looks for a key after what was read, without waiting for other reads.
+func (t *tail) peek(ctx context.Context, key string) (found bool, err error) {
+	from := t.next.Load()
+	for {
+		batch, err := t.store.Read(ctx, t.topic, from, 0)
+		if err != nil {
+			return false, err
+		}
+		for _, r := range batch.Records {
+			if r.Key == key && len(r.Value) > 0 {
+				return true, nil
+			}
+		}
+		if batch.Next >= batch.End {
+			return false, nil
+		}
+		from = batch.Next
+	}
+}
+
+// pause waits unless the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/cell/owner/advice.go
@@ -0,0 +1,171 @@
+package owner
+
+import (
+	"errors"
+	"sort"
+	"time"
+
+	"gypsumwinch/internal/cell"
+)
+
+// adviceState is what is known about the workers that may run a step.
+type adviceState struct {
+	asking bool
+	// next is when the service may be asked again.
+	next time.Duration
+	// eligible has an entry for each worker that was asked about.
+	eligible map[string]bool
+	tickets  map[string]ticket
+}
+
+// ticket permits starts in one life of a worker.
+type ticket struct {
+	text    string
+	expires time.Duration
+	born    int64
+}
+
+// Limits of questions to the advice service.
+const (
+	// adviceRetry is the pause after a question without an answer.
+	adviceRetry = 150 * time.Millisecond
+	// ticketMargin is taken off a ticket's validity: a start is recorded and
+	// sent within it.
+	ticketMargin = 60 * time.Millisecond
+	// maxAsked is the largest number of workers in one question.
+	maxAsked = 100
+	// askSurplus times the needed room is asked for, since eligibility is a
+	// matter of chance and room may be taken meanwhile.
+	askSurplus = 1.6
+)
+
+func (a *adviceState) drop(worker string) {
+	delete(a.tickets, worker)
+}
+
+// ticketFor returns a valid ticket.
+func (a *adviceState) ticketFor(w *worker, now time.Duration) (string, bool) {
+	t, ok := a.tickets[w.info.ID]
+	if !ok || t.born != w.info.Born || now+ticketMargin > t.expires {
+		return "", false
+	}
+	return t.text, true
+}
+
+// mayRun reports whether a worker may turn out, or is known, to be eligible.
+func (a *adviceState) mayRun(worker string) bool {
+	eligible, asked := a.eligible[worker]
+	return !asked || eligible
+}
+
+// advised takes an answer of the advice service over.
+func (m *Machine) advised(e Advised) {
+	j, ok := m.jobs[e.Step.Job]
+	if !ok {
+		return
+	}
+	s := j.steps[e.Step]
+	if s == nil {
+		return
+	}
+	a := &s.advice
+	a.asking = false
+	if e.Err != nil {
+		a.next = m.now.Mono + adviceRetry
+		if !errors.Is(e.Err, cell.ErrAdviceBusy) {
+			m.decide(e.Step.String(), "no advice", "error", e.Err.Error())
+		}
+		return
+	}
+	if a.eligible == nil {
+		a.eligible, a.tickets = map[string]bool{}, map[string]ticket{}
+	}
+	fresh := 0
+	for _, id := range e.Asked {
+		if _, asked := a.eligible[id]; !asked {
+			fresh++
+			a.eligible[id] = false
+		}
+	}
+	q := m.queue(j)
+	validity := e.Answer.Validity
+	if validity == 0 && q.Advice != nil {
+		validity = q.Advice.Validity
+	}
+	granted := 0
+	for _, t := range e.Answer.Eligible {
+		if !a.eligible[t.Worker] {
+			granted++
+		}
+		a.eligible[t.Worker] = true
+		if w, ok := m.workers[t.Worker]; ok {
+			a.tickets[t.Worker] = ticket{text: t.Ticket, expires: m.now.Mono - e.Age + validity, born: w.info.Born}
+		}
+	}
+	if fresh > 0 {
+		stats := m.stats(j.def.Queue.Name)
+		stats.eligible += learnRate * (float64(granted)/float64(fresh) - stats.eligible)
+	}
+	m.needPass = true
+}
+
+// ask asks which workers with room may run the remaining tasks of a step.
+func (m *Machine) ask(s *step, q cell.Queue, need int) {
+	a := &s.advice
+	if a.asking || m.now.Mono < a.next || need == 0 {
+		return
+	}
+	names, expected := m.candidates(s, q, need)
+	if len(names) == 0 || s.def.Gang && expected < float64(need) {
+		return
+	}
+	a.asking = true
+	m.emit(Ask{
+		Step:    s.id,
+		Workers: names,
+		Cost:    q.Advice.Cost(len(names)),
+		Urgent:  q.Priority == 0,
+	})
+}
+
+// candidates picks workers with room until the expected room of the eligible
+// ones is enough.
+func (m *Machine) candidates(s *step, q cell.Queue, need int) (names []string, expected float64) {
+	share := m.stats(s.job.def.Queue.Name).eligible
+	type candidate struct {
+		worker *worker
+		room   float64
+		key    float64
+	}
+	var all []candidate
+	for _, w := range m.order {
+		if !m.suits(w, s, q) || !s.advice.mayRun(w.info.ID) {
+			continue
+		}
+		n := m.roomFor(w, s)
+		if n == 0 {
+			continue
+		}
+		room := float64(min(n, need))
+		key := room + m.rand.Float64()
+		if s.advice.eligible[w.info.ID] {
+			key += 1000
+		} else {
+			room *= share
+		}
+		if w.health.suspect(m.now.Mono) {
+			key -= 500
+		}
+		all = append(all, candidate{worker: w, room: room, key: key})
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].key > all[k].key })
+	want := float64(need)*askSurplus + 1
+	for _, c := range all {
+		if expected >= want || len(names) >= maxAsked {
+			break
+		}
+		names = append(names, c.worker.info.ID)
+		expected += c.room
+	}
+	return names, expected
+}
--- /dev/null
+++ b/internal/cell/owner/machine.go
@@ -0,0 +1,201 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gypsumwinch/internal/cell"
+)
+
+// Options are the owner's settings.
+type Options struct {
+	// Term is the fencing token of this ownership.
+	Term int64
+	// LeaseLimit is the longest lease that workers grant.
+	LeaseLimit time.Duration
+	// GangTimeout is how long a member of a gang waits for the others.
+	GangTimeout time.Duration
+	// Far times the work of a task away from its data or its gang's rack.
+	Far  float64
+	Seed uint64
+}
+
+// Limits and periods of the owner.
+const (
+	// AuthorityLimit is how long an owner renews leases without having reached
+	// the store. Outages of the store last up to 9 s; a lease lasts 6 s more.
+	AuthorityLimit = 5 * time.Second
+	// slowClock is the rate of the slowest clock of a worker, per the platform.
+	slowClock = 0.98
+	// leaseMargin is added to the end of a lease for calls in flight.
+	leaseMargin = 200 * time.Millisecond
+	// renewWait is how long a worker waits for an end before it answers; a third
+	// of the longest lease leaves two more tries.
+	renewWait = 1500 * time.Millisecond
+	// silentAfter is how long a worker may leave renewals unanswered before it
+	// gets no new starts.
+	silentAfter = 600 * time.Millisecond
+	// renewRetry is the pause after a renewal without an answer.
+	renewRetry = 150 * time.Millisecond
+	// resendAfter is the pause before an order without an answer is sent again.
+	resendAfter = 40 * time.Millisecond
+	// stopRetry is the pause before a stop is sent again whose end is not listed.
+	stopRetry = 1200 * time.Millisecond
+)
+
+// Machine is the owner's state. It is not safe for concurrent use.
+type Machine struct {
+	opts    Options
+	started time.Duration
+	now     Time
+	rand    *rand.Rand
+
+	config  *cell.Config
+	jobs    map[cell.JobID]*job
+	workers map[string]*worker
+	// order lists the workers by id, for passes in a fixed order.
+	order []*worker
+	// waiting lists the steps that have tasks to start.
+	waiting map[cell.StepID]*step
+	// due lists jobs with occurrences to come.
+	due    map[cell.JobID]*job
+	queues map[string]*queueStats
+	// authority is when the owner last reached the store.
+	authority time.Duration
+
+	dirty    map[cell.JobID]*job
+	batch    int
+	batches  map[int]*batch
+	needPass bool
+	actions  []Action
+}
+
+// New returns an owner that has just begun.
+func New(opts Options, now Time) *Machine {
+	return &Machine{
+		opts:      opts,
+		started:   now.Mono,
+		authority: now.Mono,
+		now:       now,
+		rand:      rand.New(rand.NewPCG(opts.Seed, uint64(opts.Term))),
+		jobs:      map[cell.JobID]*job{},
+		workers:   map[string]*worker{},
+		waiting:   map[cell.StepID]*step{},
+		due:       map[cell.JobID]*job{},
+		queues:    map[string]*queueStats{},
+		dirty:     map[cell.JobID]*job{},
+		batches:   map[int]*batch{},
+	}
+}
+
+// Apply takes an event and returns what to do.
+func (m *Machine) Apply(now Time, ev Event) []Action {
+	m.now = now
+	switch e := ev.(type) {
+	case JobSubmitted:
+		m.submit(e)
+	case JobCancelled:
+		m.cancel(e.Job)
+	case ConfigChanged:
+		m.config = e.Config
+		m.needPass = true
+	case WorkersListed:
+		m.listWorkers(e)
+	case Renewed:
+		m.renewed(e)
+	case Started:
+		m.startAnswered(e)
+	case Stopped:
+		m.stopAnswered(e)
+	case Advised:
+		m.advised(e)
+	case Recorded:
+		m.recorded(e.Batch)
+	case StoreReached:
+		m.authority = now.Mono
+	case Tick:
+		m.tick()
+	}
+	return m.take()
+}
+
+// take returns the collected actions.
+func (m *Machine) take() []Action {
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+func (m *Machine) emit(a Action) {
+	m.actions = append(m.actions, a)
+}
+
+func (m *Machine) decide(subject, message string, details ...any) {
+	m.emit(Decide{Subject: subject, Message: message, Details: details})
+}
+
+// Place places tasks if anything changed since the last pass.
+func (m *Machine) Place(now Time) []Action {
+	m.now = now
+	if m.needPass {
+		m.needPass = false
+		m.pass()
+	}
+	return m.take()
+}
+
+// tick does what is due by time.
+func (m *Machine) tick() {
+	m.releaseDue()
+	for _, w := range m.order {
+		m.tickWorker(w)
+	}
+	if len(m.waiting) > 0 {
+		m.needPass = true
+	}
+	if len(m.dirty) == 0 && len(m.batches) == 0 {
+		m.advanceCursors()
+	}
+}
+
+// State returns the recorded state of a job that the owner holds.
+func (m *Machine) State(id cell.JobID) (cell.State, bool) {
+	j, ok := m.jobs[id]
+	if !ok {
+		return 0, false
+	}
+	return j.visible, true
+}
+
+// Reach counts workers.
+type Reach struct {
+	Listed    int
+	Answering int
+}
+
+// Share returns the share of listed workers that answer.
+func (r Reach) Share() float64 {
+	if r.Listed == 0 {
+		return 0
+	}
+	return float64(r.Answering) / float64(r.Listed)
+}
+
+// Reach counts the workers of a data centre and those of all others. Workers
+// that have not been asked yet count as answering.
+func (m *Machine) Reach(dataCentre string) (own, others Reach) {
+	for _, w := range m.order {
+		if !w.listed {
+			continue
+		}
+		r := &others
+		if w.info.Zone == dataCentre {
+			r = &own
+		}
+		r.Listed++
+		if w.failures == 0 {
+			r.Answering++
+		}
+	}
+	return own, others
+}
--- /dev/null
+++ b/internal/cell/owner/schedule.go
@@ -0,0 +1,286 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
+)
+
+// pass tries to place the tasks of all waiting steps, the most valuable first.
+func (m *Machine) pass() {
+	steps := make([]ranked, 0, len(m.waiting))
+	for _, s := range m.waiting {
+		steps = append(steps, m.rank(s))
+	}
+	slices.SortFunc(steps, ranked.compare)
+	for _, r := range steps {
+		m.placeStep(r.step, r.queue)
+	}
+}
+
+// ranked is a waiting step with its place in the order.
+type ranked struct {
+	step  *step
+	queue cell.Queue
+	// lateness is 0 while the job can be in time, 1 while it earns something
+	// late, 2 after that.
+	lateness int
+	deadline time.Duration
+}
+
+// lateFactor times the objective is until when a late job still counts.
+const lateFactor = 3
+
+// rank computes a step's place in the order.
+func (m *Machine) rank(s *step) ranked {
+	q := m.queue(s.job)
+	objective := m.objective(s.job, q)
+	r := ranked{step: s, queue: q, deadline: s.job.submitted + objective}
+	age := m.now.Mono - s.job.submitted
+	switch {
+	case s.def.LongRunning || s.job.def.Repeat > 0:
+	case age > lateFactor*objective:
+		r.lateness = 2
+	case age > objective:
+		r.lateness = 1
+	}
+	return r
+}
+
+// compare orders steps: those that can be in time first, then by priority, then
+// by deadline.
+func (r ranked) compare(o ranked) int {
+	return cmp.Or(
+		cmp.Compare(r.lateness, o.lateness),
+		cmp.Compare(r.queue.Priority, o.queue.Priority),
+		cmp.Compare(r.deadline, o.deadline),
+		cmp.Compare(r.step.id.Job, o.step.id.Job),
+		cmp.Compare(r.step.id.Occurrence, o.step.id.Occurrence),
+		cmp.Compare(r.step.id.Step, o.step.id.Step),
+	)
+}
+
+// objective estimates within which time of its submission a job is to be
+// completed.
+func (m *Machine) objective(j *job, q cell.Queue) time.Duration {
+	learned := m.stats(j.def.Queue.Name).runTime
+	var chain time.Duration
+	for i := range j.def.Steps {
+		estimate := j.def.Steps[i].Estimate
+		if learned > 0 {
+			estimate = (estimate + learned) / 2
+		}
+		chain += estimate
+	}
+	return q.Target + time.Duration(q.Slack*float64(chain))
+}
+
+// suits reports whether a worker may run a step, room and advice aside.
+func (m *Machine) suits(w *worker, s *step, q cell.Queue) bool {
+	return w.info.Service == q.Service && m.usable(w) && w.info.HasLabel(s.def.Label)
+}
+
+// free returns a worker's free capacity.
+func (w *worker) free() structs.Resources {
+	return w.info.Capacity.Sub(w.used)
+}
+
+// roomFor returns how many tasks of a step a worker can take.
+func (m *Machine) roomFor(w *worker, s *step) int {
+	n := fits(s.def.Charge(), w.free())
+	if s.def.Spread > 0 {
+		n = min(n, s.def.Spread-m.onWorker(s, w))
+	}
+	return max(n, 0)
+}
+
+// fits returns how many times need fits into free.
+func fits(need, free structs.Resources) int {
+	n := int64(1 << 20)
+	dimensions := [][2]int64{
+		{need.MilliCPU, free.MilliCPU},
+		{need.MemoryMB, free.MemoryMB},
+		{need.Accelerators, free.Accelerators},
+	}
+	for _, d := range dimensions {
+		if d[0] > 0 {
+			n = min(n, max(d[1], 0)/d[0])
+		}
+	}
+	return int(n)
+}
+
+// onWorker counts a step's runs on a worker.
+func (m *Machine) onWorker(s *step, w *worker) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// placeStep plans runs for the tasks of a step that have none.
+func (m *Machine) placeStep(s *step, q cell.Queue) {
+	pending := m.pending(s)
+	if len(pending) == 0 {
+		if s.active == len(s.task)-s.done && !s.def.LongRunning {
+			delete(m.waiting, s.id)
+		}
+		return
+	}
+	if s.def.Gang {
+		m.placeGang(s, q, pending)
+		return
+	}
+	number := s.lastRun + 1
+	placed := 0
+	for _, i := range pending {
+		w := m.choose(s, q, i)
+		if w == nil {
+			break
+		}
+		m.plan(s, i, number, w)
+		placed++
+	}
+	if placed > 0 {
+		m.begin(s.job)
+	}
+	if rest := len(pending) - placed; rest > 0 && q.Advice != nil {
+		m.ask(s, q, rest)
+	}
+}
+
+// pending returns the tasks of a step that may start now.
+func (m *Machine) pending(s *step) []int {
+	var out []int
+	for i := range s.task {
+		t := &s.task[i]
+		if !t.done && t.run == nil && m.now.Mono >= t.notBefore {
+			out = append(out, i)
+		}
+	}
+	if s.def.Gang && (s.active > 0 || len(out) < len(s.task)) {
+		return nil
+	}
+	return out
+}
+
+// placeGang plans runs for all tasks of a gang, or for none.
+func (m *Machine) placeGang(s *step, q cell.Queue, pending []int) {
+	number := s.lastRun + 1
+	var planned []*run
+	for _, i := range pending {
+		w := m.choose(s, q, i)
+		if w == nil {
+			break
+		}
+		planned = append(planned, m.plan(s, i, number, w))
+	}
+	if len(planned) == len(pending) {
+		m.begin(s.job)
+		return
+	}
+	for _, r := range planned {
+		m.unplan(r)
+	}
+	s.lastRun = number - 1
+	if q.Advice != nil {
+		m.ask(s, q, len(pending))
+	}
+}
+
+// plan reserves room for a run. Its order is sent once it is recorded.
+func (m *Machine) plan(s *step, index, number int, w *worker) *run {
+	text, _ := s.advice.ticketFor(w, m.now.Mono)
+	r := &run{
+		id:     cell.TaskID{StepID: s.id, Index: index},
+		number: number,
+		job:    s.job,
+		step:   s,
+		worker: w,
+		born:   w.info.Born,
+		charge: s.def.Charge(),
+		phase:  phasePlanned,
+		ticket: text,
+	}
+	s.task[index].run = r
+	s.lastRun = number
+	m.openRun(r)
+	return r
+}
+
+// begin has planned runs recorded, after which their orders are sent.
+func (m *Machine) begin(j *job) {
+	if j.state == cell.StateQueued {
+		j.state = cell.StateRunning
+	}
+	m.markDirty(j)
+}
+
+// unplan takes a planned run back.
+func (m *Machine) unplan(r *run) {
+	delete(r.worker.runs, runKey{r.name, r.number})
+	r.worker.used = r.worker.used.Sub(r.charge)
+	r.job.openRuns--
+	r.step.active--
+	r.step.task[r.id.Index].run = nil
+}
+
+// choose returns the worker for a task, or nil.
+func (m *Machine) choose(s *step, q cell.Queue, index int) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range m.order {
+		if !m.suits(w, s, q) {
+			continue
+		}
+		if q.Advice != nil {
+			if _, ok := s.advice.ticketFor(w, m.now.Mono); !ok {
+				continue
+			}
+		}
+		if m.roomFor(w, s) == 0 {
+			continue
+		}
+		score := m.score(w, s, index)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Weights of the score of a worker for a task, in shares of a worker's
+// processors that would be left free: lower scores are better.
+const (
+	// weightSuspect outweighs all but the lack of another worker.
+	weightSuspect = 10.0
+	// weightAvoid keeps a task from the worker where it failed last.
+	weightAvoid = 5.0
+	// weightFar keeps tasks near their data, since away from it they take longer.
+	weightFar = 3.0
+)
+
+// score rates a worker for a task. Best fit keeps large holes for large tasks.
+func (m *Machine) score(w *worker, s *step, index int) float64 {
+	left := w.free().Sub(s.def.Charge())
+	score := 0.0
+	if w.info.Capacity.MilliCPU > 0 {
+		score = float64(left.MilliCPU) / float64(w.info.Capacity.MilliCPU)
+	}
+	if w.health.suspect(m.now.Mono) {
+		score += weightSuspect
+	}
+	if s.task[index].avoid == w.info.ID {
+		score += weightAvoid
+	}
+	if s.def.DataRack != "" && s.def.DataRack != w.info.Rack() {
+		score += weightFar
+	}
+	return score
+}
