Refuse submissions at once while the store is down; claim sooner; show waiting jobs truly

Change: one batch of submissions in flight per VM, the others are answered as not run; the owner appends for a VM that the store does not answer; beats every 0.25 s, claim after 0.6 s plus three latencies of the store, at once if the owner's port is closed; state running once a start is confirmed. Ruled out: an overload of the owner (0.06 of 0.4 cores).

--- a/internal/cell/cellpb/cell.twirp.go
+++ b/internal/cell/cellpb/cell.twirp.go
@@ -39,6 +39,9 @@
 	// Ask asks the advice service on the owner's behalf.
 	Ask(context.Context, *AskRequest) (*AskResponse, error)
 
+	// Append appends a record to topic jobs for a VM that the store does not answer.
+	Append(context.Context, *AppendRequest) (*AppendResponse, error)
+
 	// Hello makes an entry VM known to the owner.
 	Hello(context.Context, *HelloRequest) (*HelloResponse, error)
 }
@@ -49,7 +52,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,9 +80,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gypsumwinch.cell", "Cell")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "State",
 		serviceURL + "Ask",
+		serviceURL + "Append",
 		serviceURL + "Hello",
 	}
 
@@ -183,6 +187,52 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Append(ctx context.Context, in *AppendRequest) (*AppendResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	caller := c.callAppend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AppendRequest) (*AppendResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AppendRequest) when calling interceptor")
+					}
+					return c.callAppend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AppendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AppendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callAppend(ctx context.Context, in *AppendRequest) (*AppendResponse, error) {
+	out := new(AppendResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *cellProtobufClient) Hello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
 	ctx = ctxsetters.WithServiceName(ctx, "Cell")
@@ -214,7 +264,7 @@
 
 func (c *cellProtobufClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	out := new(HelloResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -235,7 +285,7 @@
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -263,9 +313,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gypsumwinch.cell", "Cell")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "State",
 		serviceURL + "Ask",
+		serviceURL + "Append",
 		serviceURL + "Hello",
 	}
 
@@ -369,6 +420,52 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Append(ctx context.Context, in *AppendRequest) (*AppendResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	caller := c.callAppend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AppendRequest) (*AppendResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AppendRequest) when calling interceptor")
+					}
+					return c.callAppend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AppendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AppendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callAppend(ctx context.Context, in *AppendRequest) (*AppendResponse, error) {
+	out := new(AppendResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *cellJSONClient) Hello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
 	ctx = ctxsetters.WithServiceName(ctx, "Cell")
@@ -400,7 +497,7 @@
 
 func (c *cellJSONClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	out := new(HelloResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -518,6 +615,9 @@
 	case "Ask":
 		s.serveAsk(ctx, resp, req)
 		return
+	case "Append":
+		s.serveAppend(ctx, resp, req)
+		return
 	case "Hello":
 		s.serveHello(ctx, resp, req)
 		return
@@ -888,6 +988,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) serveAppend(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAppendJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAppendProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveAppendJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AppendRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Append
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AppendRequest) (*AppendResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AppendRequest) when calling interceptor")
+					}
+					return s.Cell.Append(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AppendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AppendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AppendResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AppendResponse and nil error while calling Append. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveAppendProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AppendRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Append
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AppendRequest) (*AppendResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AppendRequest) when calling interceptor")
+					}
+					return s.Cell.Append(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AppendResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AppendResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AppendResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AppendResponse and nil error while calling Append. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) serveHello(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1649,28 +1929,35 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 357 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x52, 0xcd, 0x4a, 0xf3, 0x40,
-	0x14, 0x25, 0x4d, 0x7f, 0x6f, 0xfb, 0x41, 0x19, 0x3e, 0x24, 0x14, 0xb5, 0x61, 0x40, 0xe8, 0x2a,
-	0x85, 0x0a, 0x22, 0xee, 0x5a, 0x37, 0xdd, 0xb8, 0x19, 0x5d, 0xb9, 0x91, 0xa4, 0x1d, 0x34, 0x66,
-	0x3a, 0x13, 0x33, 0xd3, 0x96, 0xbc, 0xac, 0xcf, 0x22, 0xf3, 0x13, 0x1a, 0x6d, 0xbb, 0x09, 0xf7,
-	0x9e, 0x39, 0x67, 0xee, 0xb9, 0x67, 0x02, 0xb0, 0xa2, 0x8c, 0x45, 0x79, 0x21, 0x94, 0x40, 0xc3,
-	0xf7, 0x32, 0x97, 0xdb, 0xcd, 0x3e, 0xe5, 0xab, 0x8f, 0x48, 0xe3, 0x38, 0x84, 0xc1, 0xb3, 0x8a,
-	0x15, 0x25, 0xf4, 0x6b, 0x4b, 0xa5, 0x42, 0x43, 0xf0, 0x3f, 0x45, 0x12, 0x78, 0xa1, 0x37, 0xe9,
-	0x11, 0x5d, 0xe2, 0x1b, 0xf8, 0xe7, 0x18, 0x32, 0x17, 0x5c, 0x52, 0xf4, 0x1f, 0x5a, 0x52, 0x03,
-	0x8e, 0x64, 0x1b, 0xfc, 0x00, 0x30, 0x97, 0x59, 0x75, 0x0d, 0x82, 0xa6, 0x54, 0x34, 0x77, 0x14,
-	0x53, 0xa3, 0x00, 0x3a, 0x7b, 0x51, 0x64, 0xb4, 0x90, 0x41, 0x23, 0xf4, 0x27, 0x3d, 0x52, 0xb5,
-	0x78, 0x07, 0x7d, 0xa3, 0x75, 0x03, 0x10, 0x34, 0x93, 0xad, 0x2c, 0x8d, 0xb8, 0x4b, 0x4c, 0x8d,
-	0x66, 0xd0, 0x51, 0xe9, 0x2a, 0xa3, 0xca, 0x8a, 0xfb, 0xb3, 0x20, 0xfa, 0xbb, 0x4b, 0xf4, 0x62,
-	0x08, 0xa4, 0x22, 0xa2, 0x31, 0xf4, 0x77, 0x31, 0x4b, 0xd7, 0xa9, 0x2a, 0xdf, 0x36, 0x32, 0xf0,
-	0x43, 0x6f, 0xe2, 0x13, 0xa8, 0xa0, 0x27, 0x89, 0xef, 0xa1, 0x6d, 0x35, 0xe8, 0x02, 0xda, 0xd6,
-	0x8c, 0x73, 0xec, 0x3a, 0x8d, 0xdb, 0xdb, 0x82, 0x86, 0xc5, 0x6d, 0x87, 0xef, 0x60, 0xb0, 0xa4,
-	0x8c, 0x89, 0xda, 0xbe, 0x3c, 0xde, 0x54, 0x91, 0x98, 0x5a, 0x63, 0xf1, 0x7a, 0x5d, 0x38, 0xa5,
-	0xa9, 0x75, 0x98, 0x4e, 0x77, 0x08, 0x53, 0xec, 0xb9, 0x9b, 0xdb, 0x25, 0xb6, 0x99, 0x7d, 0x7b,
-	0xd0, 0x7c, 0xa4, 0x8c, 0xa1, 0x25, 0xb4, 0x4c, 0xf8, 0xe8, 0xfa, 0x78, 0xdd, 0xfa, 0xbb, 0x8d,
-	0xc6, 0x67, 0xcf, 0xdd, 0xa0, 0x05, 0xf8, 0x73, 0x99, 0xa1, 0xcb, 0x63, 0xde, 0xe1, 0xd9, 0x46,
-	0x57, 0x67, 0x4e, 0xdd, 0x1d, 0x4b, 0x68, 0x19, 0xf7, 0xa7, 0xdc, 0xd4, 0xe3, 0x38, 0xe5, 0xe6,
-	0xd7, 0xda, 0x0b, 0xfc, 0x1a, 0xd6, 0x18, 0xd3, 0x94, 0x2b, 0x5a, 0xf0, 0x98, 0x4d, 0x35, 0xd5,
-	0x7c, 0xf2, 0x24, 0x69, 0x9b, 0x7f, 0xf6, 0xf6, 0x27, 0x00, 0x00, 0xff, 0xff, 0xd2, 0x65, 0x99,
-	0x1b, 0xc1, 0x02, 0x00, 0x00,
+	// 467 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x53, 0xdf, 0x8b, 0xd3, 0x40,
+	0x10, 0x36, 0x4d, 0xaf, 0xe9, 0x4d, 0x7b, 0x47, 0x59, 0x44, 0xc2, 0xa1, 0x36, 0x2c, 0x08, 0x7d,
+	0xca, 0x41, 0x05, 0x15, 0xdf, 0x7a, 0x2a, 0x1c, 0x1c, 0xa6, 0xb0, 0x9e, 0x08, 0xbe, 0x1c, 0x69,
+	0xb3, 0x68, 0xcc, 0x36, 0x1b, 0xb3, 0x9b, 0x96, 0xbc, 0xfb, 0xdf, 0xf8, 0x4f, 0xca, 0xfe, 0x3a,
+	0x73, 0xb6, 0xc5, 0x97, 0x32, 0xf3, 0xe5, 0xfb, 0x66, 0xe6, 0x9b, 0x9d, 0x02, 0xac, 0x29, 0x63,
+	0x71, 0x55, 0x73, 0xc9, 0xd1, 0xe4, 0x5b, 0x5b, 0x89, 0x66, 0xb3, 0xcb, 0xcb, 0xf5, 0xf7, 0x58,
+	0xe1, 0x38, 0x82, 0xf1, 0x27, 0x99, 0x4a, 0x4a, 0xe8, 0xcf, 0x86, 0x0a, 0x89, 0x26, 0xe0, 0xff,
+	0xe0, 0xab, 0xd0, 0x8b, 0xbc, 0xd9, 0x29, 0x51, 0x21, 0x7e, 0x01, 0x67, 0x96, 0x21, 0x2a, 0x5e,
+	0x0a, 0x8a, 0x1e, 0xc3, 0x89, 0x50, 0x80, 0x25, 0x99, 0x04, 0xbf, 0x05, 0x58, 0x88, 0xc2, 0x95,
+	0x41, 0xd0, 0x17, 0x92, 0x56, 0x96, 0xa2, 0x63, 0x14, 0x42, 0xb0, 0xe3, 0x75, 0x41, 0x6b, 0x11,
+	0xf6, 0x22, 0x7f, 0x76, 0x4a, 0x5c, 0x8a, 0xb7, 0x30, 0xd2, 0x5a, 0xdb, 0x00, 0x41, 0x7f, 0xd5,
+	0x88, 0x56, 0x8b, 0x87, 0x44, 0xc7, 0x68, 0x0e, 0x81, 0xcc, 0xd7, 0x05, 0x95, 0x46, 0x3c, 0x9a,
+	0x87, 0xf1, 0xbf, 0x5e, 0xe2, 0x5b, 0x4d, 0x20, 0x8e, 0x88, 0xa6, 0x30, 0xda, 0xa6, 0x2c, 0xcf,
+	0x72, 0xd9, 0xde, 0x6d, 0x44, 0xe8, 0x47, 0xde, 0xcc, 0x27, 0xe0, 0xa0, 0x8f, 0x02, 0xbf, 0x81,
+	0x81, 0xd1, 0xa0, 0x27, 0x30, 0x30, 0xc3, 0xd8, 0x89, 0x6d, 0xa6, 0x70, 0x53, 0x2d, 0xec, 0x19,
+	0xdc, 0x64, 0xf8, 0x15, 0x8c, 0xaf, 0x29, 0x63, 0xbc, 0xe3, 0xb7, 0x4c, 0x37, 0x6e, 0x25, 0x3a,
+	0x56, 0x58, 0x9a, 0x65, 0xb5, 0x55, 0xea, 0x58, 0x2d, 0xd3, 0xea, 0xfe, 0x2e, 0x93, 0xef, 0x4a,
+	0xdb, 0x77, 0x48, 0x4c, 0x82, 0x5f, 0xc3, 0xd9, 0xa2, 0xaa, 0x68, 0x99, 0x75, 0x9e, 0xa5, 0xa0,
+	0xad, 0x7b, 0x96, 0x82, 0xb6, 0x4a, 0xb8, 0x4d, 0x59, 0x43, 0x75, 0xf9, 0x31, 0x31, 0x09, 0xfe,
+	0xe5, 0xc1, 0xb9, 0x53, 0xda, 0x0e, 0x57, 0x10, 0xf0, 0x46, 0xae, 0xb9, 0x9d, 0xee, 0x7c, 0x3e,
+	0xdb, 0xdf, 0xdc, 0x43, 0x49, 0xbc, 0x34, 0x7c, 0xe2, 0x84, 0x38, 0x86, 0xc0, 0x62, 0x68, 0x04,
+	0xc1, 0xe7, 0xe4, 0x26, 0x59, 0x7e, 0x49, 0x26, 0x8f, 0xd0, 0x10, 0xfa, 0xef, 0x97, 0xc9, 0x87,
+	0x89, 0x87, 0xc6, 0x30, 0x4c, 0x96, 0xb7, 0x77, 0x3a, 0xeb, 0xcd, 0x7f, 0xf7, 0xa0, 0xff, 0x8e,
+	0x32, 0x86, 0xae, 0xe1, 0x44, 0x1f, 0x0f, 0x7a, 0xbe, 0xdf, 0xb4, 0x7b, 0x77, 0x17, 0xd3, 0xa3,
+	0xdf, 0xef, 0x6d, 0xf8, 0x0b, 0x51, 0xa0, 0xa7, 0x07, 0x86, 0xbf, 0x3f, 0xbb, 0x8b, 0x67, 0x47,
+	0xbe, 0xda, 0x1a, 0x37, 0x30, 0x30, 0x4e, 0xd1, 0xf4, 0xf8, 0x0e, 0x4c, 0xa5, 0xe8, 0x7f, 0x4b,
+	0x52, 0xd6, 0xf4, 0x53, 0x1e, 0xb2, 0xd6, 0xbd, 0x8d, 0x43, 0xd6, 0x1e, 0xdc, 0xc0, 0x15, 0xfe,
+	0x1a, 0x75, 0x18, 0x97, 0x79, 0x29, 0x69, 0x5d, 0xa6, 0xec, 0x52, 0x51, 0xf5, 0x4f, 0xb5, 0x5a,
+	0x0d, 0xf4, 0x1f, 0xf8, 0xe5, 0x9f, 0x00, 0x00, 0x00, 0xff, 0xff, 0x66, 0xd1, 0xd7, 0x27, 0xce,
+	0x03, 0x00, 0x00,
 }
--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -21,10 +21,13 @@
 // Periods of the election.
 const (
 	// BeatEvery is the period of beats.
-	BeatEvery = 400 * time.Millisecond
+	BeatEvery = 250 * time.Millisecond
 	// ClaimAfter is how long the store must tell of no beat before a claim: two
-	// beats may be missing. Outages are shorter than what an owner's end costs.
-	ClaimAfter = 1100 * time.Millisecond
+	// beats may be missing. A needless takeover costs about 40 ms.
+	ClaimAfter = 600 * time.Millisecond
+	// latencyFactor times the latency of the store is added to ClaimAfter: both
+	// a beat and its reading take longer then.
+	latencyFactor = 3
 	// callTimeout bounds one call to the store. The slowest store seen answers
 	// after 0.35 s.
 	callTimeout = 600 * time.Millisecond
@@ -52,6 +55,8 @@
 	Instance string
 	// Delay is added to ClaimAfter, so that better suited VMs claim first.
 	Delay time.Duration
+	// Latency is the latest latency of the store.
+	Latency func() time.Duration
 	// Now counts while the machine is suspended, too.
 	Now func() time.Duration
 	// Seen is called with each record of an owner.
@@ -68,13 +73,24 @@
 	store cell.Store
 	next  int64
 	last  Record
+	// suspect is filled when the owner's process is known to have ended.
+	suspect chan struct{}
 	// yieldUntil keeps a VM that resigned from claiming at once.
 	yieldUntil time.Duration
 }
 
 // New returns an election that has read nothing.
 func New(store cell.Store, opts Options) *Election {
-	return &Election{opts: opts, store: store}
+	return &Election{opts: opts, store: store, suspect: make(chan struct{}, 1)}
+}
+
+// Suspect says that the owner's process has ended, so that a claim need not
+// wait for missing beats.
+func (e *Election) Suspect() {
+	select {
+	case e.suspect <- struct{}{}:
+	default:
+	}
 }
 
 // Last returns the newest record that was read.
@@ -133,12 +149,15 @@
 // follow reads once and reports whether the store told of no beat for so long
 // that the owner must be gone.
 func (e *Election) follow(ctx context.Context) (silent bool, err error) {
-	wait := ClaimAfter + e.opts.Delay
+	wait := ClaimAfter + e.opts.Delay + latencyFactor*e.opts.Latency()
 	if e.last.Resigned {
 		wait = e.opts.Delay
 	}
 	begin := e.opts.Now()
-	batch, err := e.store.Read(ctx, cell.TopicOwner, e.next, wait)
+	batch, suspected, err := e.read(ctx, wait)
+	if suspected {
+		wait = 0
+	}
 	if err != nil {
 		return false, err
 	}
@@ -155,6 +174,31 @@
 	return true, nil
 }
 
+// read reads on. A suspicion ends the wait; what was written until then is read
+// once more.
+func (e *Election) read(ctx context.Context, wait time.Duration) (batch cell.Batch, suspected bool, err error) {
+	type result struct {
+		batch cell.Batch
+		err   error
+	}
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan result, 1)
+	go func() {
+		batch, err := e.store.Read(readCtx, cell.TopicOwner, e.next, wait)
+		done <- result{batch, err}
+	}()
+	select {
+	case r := <-done:
+		return r.batch, false, r.err
+	case <-e.suspect:
+	}
+	cancel()
+	<-done
+	batch, err = e.store.Read(ctx, cell.TopicOwner, e.next, 0)
+	return batch, true, err
+}
+
 // take remembers the newest record of a batch.
 func (e *Election) take(batch cell.Batch) {
 	for _, r := range batch.Records {
--- /dev/null
+++ b/internal/cell/node/committer.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"gypsumwinch/internal/cell"
+)
+
+const (
+	// firstTry bounds the first try of an append; an answer takes 4 to 10 ms. An
+	// answer that is lost costs this long.
+	firstTry = 90 * time.Millisecond
+	// lastTry bounds later tries. The slowest store seen answers after 0.35 s.
+	lastTry = 800 * time.Millisecond
+	// tryFactor lengthens each try.
+	tryFactor = 3
+	// latencyFactor times the last answer's latency is the least first try.
+	latencyFactor = 3
+	// tryPause is the pause between tries.
+	tryPause = 20 * time.Millisecond
+	// downAfter is how long an append may be tried before the store counts as
+	// down for this VM and new submissions are not sent.
+	downAfter = 400 * time.Millisecond
+	// commitBatch bounds the records of one append.
+	commitBatch = 64
+	// commitQueue bounds the records that wait.
+	commitQueue = 512
+)
+
+// patience is how long the tries of a call to the store last. It grows with the
+// latency that was seen last.
+type patience struct{ latency atomic.Int64 }
+
+// try returns the bound of a try, numbered from 0.
+func (p *patience) try(n int) time.Duration {
+	d := max(firstTry, latencyFactor*time.Duration(p.latency.Load()))
+	for range n {
+		d *= tryFactor
+	}
+	return min(d, lastTry)
+}
+
+func (p *patience) succeeded(took time.Duration) {
+	p.latency.Store(int64(took))
+}
+
+// submission is a record that waits to be appended to topic jobs.
+type submission struct {
+	ctx  context.Context
+	kv   cell.KeyValue
+	done chan error
+}
+
+// errStoreDown is the cause of submissions that were not sent.
+var errStoreDown = errors.New("the store does not answer this VM")
+
+// committer appends records to topic jobs, one batch at a time. While a batch
+// is without an answer no other is sent, so that the records that wait can be
+// answered as not run.
+type committer struct {
+	store    cell.Store
+	log      hclog.Logger
+	patience patience
+	queue    chan submission
+	// downSince is when the store was found down, in boot time; 0 if it is not.
+	downSince atomic.Int64
+	// readAt tells when the store was last read.
+	readAt func() time.Duration
+}
+
+func newCommitter(store cell.Store, log hclog.Logger, readAt func() time.Duration) *committer {
+	return &committer{store: store, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
+}
+
+// down reports whether the store counts as down. A read that succeeded since
+// clears it.
+func (c *committer) down() bool {
+	since := time.Duration(c.downSince.Load())
+	return since != 0 && c.readAt() < since
+}
+
+// append appends a record. A NotRunError means that it was certainly not
+// appended; any other error leaves it open.
+func (c *committer) append(ctx context.Context, kv cell.KeyValue) error {
+	if c.down() {
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+	}
+	s := submission{ctx: ctx, kv: kv, done: make(chan error, 1)}
+	select {
+	case c.queue <- s:
+	default:
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: eris.New("too many submissions wait")}
+	}
+	return <-s.done
+}
+
+// run appends batches until the context ends.
+func (c *committer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-c.queue:
+			c.commit(ctx, c.collect(s))
+		}
+	}
+}
+
+// collect takes the records that wait already.
+func (c *committer) collect(first submission) []submission {
+	batch := []submission{first}
+	for len(batch) < commitBatch {
+		select {
+		case s := <-c.queue:
+			batch = append(batch, s)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// commit appends a batch, again until it is answered or no caller waits.
+func (c *committer) commit(ctx context.Context, batch []submission) {
+	began := boot()
+	unknown := false
+	for try := 0; ; try++ {
+		took, err := c.once(ctx, batch, c.patience.try(try))
+		if err == nil {
+			c.patience.succeeded(took)
+			c.downSince.Store(0)
+			answer(batch, nil)
+			return
+		}
+		refused := errors.Is(err, cell.ErrNotDone)
+		if refused && !unknown {
+			c.markDown(err)
+			answer(batch, &cell.NotRunError{After: cell.ReturnSoon, Cause: err})
+			return
+		}
+		unknown = unknown || !refused
+		if boot()-began > downAfter {
+			c.markDown(err)
+			c.refuseWaiting()
+		}
+		batch = waitingOf(batch, err)
+		if len(batch) == 0 {
+			return
+		}
+		pause(ctx, tryPause)
+		if ctx.Err() != nil {
+			answer(batch, err)
+			return
+		}
+	}
+}
+
+// markDown notes that the store does not answer this VM.
+func (c *committer) markDown(err error) {
+	if !c.down() {
+		c.log.Warn("store counts as down", "error", err.Error())
+	}
+	c.downSince.Store(int64(boot()))
+}
+
+// refuseWaiting answers the records that were not sent.
+func (c *committer) refuseWaiting() {
+	for {
+		select {
+		case s := <-c.queue:
+			s.done <- &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+		default:
+			return
+		}
+	}
+}
+
+func (c *committer) once(ctx context.Context, batch []submission, timeout time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	records := make([]cell.KeyValue, 0, len(batch))
+	for _, s := range batch {
+		records = append(records, s.kv)
+	}
+	began := boot()
+	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
+	return boot() - began, err
+}
+
+// waitingOf answers those whose caller waits no longer and returns the others.
+func waitingOf(batch []submission, err error) []submission {
+	rest := batch[:0]
+	for _, s := range batch {
+		if s.ctx.Err() != nil {
+			s.done <- err
+			continue
+		}
+		rest = append(rest, s)
+	}
+	return rest
+}
+
+func answer(batch []submission, err error) {
+	for _, s := range batch {
+		s.done <- err
+	}
+}
--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -31,8 +31,6 @@
 	// appendTimeout bounds one append of progress. The slowest store seen
 	// answers after 0.35 s.
 	appendTimeout = 700 * time.Millisecond
-	// appendRetry is the pause after an append without an answer.
-	appendRetry = 60 * time.Millisecond
 	// listEvery is how often the owner reads the workers' entries: a draining
 	// worker gets no new work after 2 s.
 	listEvery = 350 * time.Millisecond
@@ -285,9 +283,11 @@
 // write appends a batch until the store has taken it. The sequence makes a
 // repetition harmless.
 func (c *control) write(ctx context.Context, records []cell.KeyValue, number int, sequence int64) {
-	for ctx.Err() == nil {
-		err := c.appendOnce(ctx, records, sequence)
+	for try := 0; ctx.Err() == nil; try++ {
+		began := boot()
+		err := c.appendOnce(ctx, records, sequence, c.node.progressPatience.try(try))
 		if err == nil {
+			c.node.progressPatience.succeeded(boot() - began)
 			c.stored <- outcome{batch: number}
 			return
 		}
@@ -295,13 +295,15 @@
 			c.stored <- outcome{fenced: true}
 			return
 		}
-		c.log.Warn("progress is not recorded yet", "batch", number, "error", err.Error())
-		pause(ctx, appendRetry)
+		if try > 0 {
+			c.log.Warn("progress is not recorded yet", "batch", number, "try", try, "error", err.Error())
+		}
+		pause(ctx, tryPause)
 	}
 }
 
-func (c *control) appendOnce(ctx context.Context, records []cell.KeyValue, sequence int64) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+func (c *control) appendOnce(ctx context.Context, records []cell.KeyValue, sequence int64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.node.metrics.appends.Inc()
 	_, err := c.node.store.Append(ctx, cell.Append{
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// submitTimeout bounds one append of a submission.
-	submitTimeout = 600 * time.Millisecond
-	// submitRetry is the pause before an append without an answer is repeated.
-	submitRetry = 50 * time.Millisecond
+	// relayFresh is how recent the owner's last answer must be for it to be asked
+	// to append.
+	relayFresh = time.Second
+	// relayTimeout bounds an append through the owner.
+	relayTimeout = 900 * time.Millisecond
 	// answerMargin is kept of a caller's deadline for the answer to arrive.
 	answerMargin = 150 * time.Millisecond
 	// askOwnerTimeout bounds the owner's answer about a job.
@@ -67,6 +68,7 @@
 		return err
 	}
 	n.count("submit", "accepted")
+	n.log.Info("job is accepted", "id", string(job.ID), "queue", job.Queue.Name, "steps", len(job.Steps))
 	n.takeJobs([]cell.KeyValue{kv})
 	return nil
 }
@@ -83,36 +85,38 @@
 	n.metrics.requests.WithLabelValues(operation, outcome).Inc()
 }
 
-// appendJobs appends a record to topic jobs. Once an append was left without an
-// answer it may have been executed, so that a later refusal is no proof.
+// appendJobs appends a record to topic jobs, through the owner if the store does
+// not answer this VM.
 func (n *Node) appendJobs(ctx context.Context, kv cell.KeyValue) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	unknown := false
-	for {
-		err := n.appendJob(ctx, kv)
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, cell.ErrNotDone) && !unknown {
-			return &cell.NotRunError{After: cell.ReturnSoon, Cause: err}
-		}
-		unknown = true
-		pause(ctx, submitRetry)
-		if ctx.Err() != nil {
-			return err
+	if n.committer.down() {
+		if p := n.ownerPeer(); p != nil && boot()-time.Duration(n.greetedAt.Load()) < relayFresh {
+			return n.relay(ctx, p, kv)
 		}
 	}
+	return n.committer.append(ctx, kv)
 }
 
-func (n *Node) appendJob(ctx context.Context, kv cell.KeyValue) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+// relay has the owner append a record.
+func (n *Node) relay(ctx context.Context, p cellpb.Cell, kv cell.KeyValue) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	_, err := n.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: []cell.KeyValue{kv}, At: -1})
-	return err
+	resp, err := p.Append(ctx, &cellpb.AppendRequest{Key: kv.Key, Value: kv.Value})
+	switch {
+	case err != nil:
+		return eris.Wrap(err, "append through the owner")
+	case resp.Outcome == cellpb.AppendResponse_DONE:
+		n.count("relay", "done")
+		return nil
+	case resp.Outcome == cellpb.AppendResponse_NOT_DONE:
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+	default:
+		return eris.New("the owner does not know whether the append was executed")
+	}
 }
 
 // State returns a job's state. The owner knows it first.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -77,7 +77,12 @@
 	peers   map[string]cellpb.Cell
 	http    *http.Client
 
-	draining atomic.Bool
+	committer *committer
+	// progressPatience bounds the tries of appends of progress.
+	progressPatience patience
+	// greetedAt is when the owner last answered a greeting, in boot time.
+	greetedAt atomic.Int64
+	draining  atomic.Bool
 	// ownCtx ends when this VM may own the cell no longer.
 	ownCtx     context.Context
 	stopOwning context.CancelFunc
@@ -102,12 +107,14 @@
 	n.jobs = n.newTail(cell.TopicJobs, n.takeJobs)
 	n.progress = n.newTail(cell.TopicProgress, n.takeProgress)
 	n.configs = n.newTail(cell.TopicConfig, n.takeConfigs)
+	n.committer = newCommitter(n.store, n.log, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
 	n.election = election.New(n.store, election.Options{
 		Node:     settings.Name,
 		Addr:     settings.Peers,
 		Instance: n.instance,
 		Delay:    claimDelay(settings),
 		Now:      boot,
+		Latency:  func() time.Duration { return time.Duration(n.jobs.latency.Load()) },
 		Seen:     n.ownerSeen,
 		Beaten:   n.beaten,
 		Log:      func(message string, details ...any) { n.log.Info(message, details...) },
@@ -155,7 +162,7 @@
 	n.log.Info("node starts", "data_centre", n.settings.DataCentre, "instance", n.instance)
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.followConfigs, n.followJobs, n.followProgress, n.campaign, n.greetOwner, n.collect,
+		n.followConfigs, n.followJobs, n.followProgress, n.campaign, n.greetOwner, n.collect, n.committer.run,
 	} {
 		wg.Go(func() { loop(ctx) })
 	}
@@ -187,8 +194,9 @@
 	n.configs.follow(ctx, func() time.Duration { return configWait }, followEvery)
 }
 
-// configWait is how long a read waits for a configuration.
-const configWait = 20 * time.Second
+// configWait is how long a read waits for a configuration. A connection that
+// has gone silent is noticed within it, and a version is in force after 2 s.
+const configWait = 900 * time.Millisecond
 
 func (n *Node) followJobs(ctx context.Context) {
 	n.jobs.follow(ctx, func() time.Duration {
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -17,7 +19,7 @@
 	// peerIdle closes idle connections between VMs.
 	peerIdle = 15 * time.Second
 	// greetEvery is how often a VM makes itself known to the owner.
-	greetEvery = time.Second
+	greetEvery = 300 * time.Millisecond
 	// greetTimeout bounds a greeting.
 	greetTimeout = 500 * time.Millisecond
 )
@@ -49,6 +51,22 @@
 	return serveAsk(ctx, s.node.advisor, req)
 }
 
+// Append implements cellpb.Cell.
+func (s *rpcServer) Append(ctx context.Context, req *cellpb.AppendRequest) (*cellpb.AppendResponse, error) {
+	kv := cell.KeyValue{Key: req.Key, Value: req.Value}
+	err := s.node.committer.append(ctx, kv)
+	var notRun *cell.NotRunError
+	switch {
+	case err == nil:
+		s.node.takeJobs([]cell.KeyValue{kv})
+		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_DONE}, nil
+	case errors.As(err, &notRun):
+		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_NOT_DONE}, nil
+	default:
+		return &cellpb.AppendResponse{}, nil
+	}
+}
+
 // Hello implements cellpb.Cell.
 func (s *rpcServer) Hello(ctx context.Context, req *cellpb.HelloRequest) (*cellpb.HelloResponse, error) {
 	c := s.node.owning()
@@ -99,6 +117,16 @@
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
 	if _, err := p.Hello(ctx, &cellpb.HelloRequest{Name: n.settings.Name, Addr: n.settings.Peers}); err != nil {
-		n.log.Debug("owner does not answer", "error", err.Error())
+		if refused(err) {
+			// The owner's process has ended: no beat will come.
+			n.election.Suspect()
+		}
+		return
 	}
+	n.greetedAt.Store(int64(boot()))
+}
+
+// refused reports whether a peer's machine answered that no process listens.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -120,6 +120,7 @@
 		return
 	}
 	a.asking = true
+	m.decide(s.id.String(), "advice is asked", "workers", len(names), "expected_room", int(expected*10)/10, "need", need)
 	m.emit(Ask{
 		Step:    s.id,
 		Workers: names,
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -63,7 +63,11 @@
 	// authority is when the owner last reached the store.
 	authority time.Duration
 
-	dirty    map[cell.JobID]*job
+	dirty map[cell.JobID]*job
+	// begun holds jobs whose first task has started since begunAt. Their state
+	// may be 2 s old, so that it mostly shares a later record.
+	begun    map[cell.JobID]*job
+	begunAt  time.Duration
 	batch    int
 	batches  map[int]*batch
 	needPass bool
@@ -84,6 +88,7 @@
 		due:       map[cell.JobID]*job{},
 		queues:    map[string]*queueStats{},
 		dirty:     map[cell.JobID]*job{},
+		begun:     map[cell.JobID]*job{},
 		batches:   map[int]*batch{},
 	}
 }
@@ -147,6 +152,7 @@
 // tick does what is due by time.
 func (m *Machine) tick() {
 	m.releaseDue()
+	m.recordBegun()
 	for _, w := range m.order {
 		m.tickWorker(w)
 	}
@@ -158,6 +164,23 @@
 	}
 }
 
+// begunEvery is how often the states of jobs that have begun are recorded.
+const begunEvery = 500 * time.Millisecond
+
+// recordBegun has the states of jobs recorded that have begun.
+func (m *Machine) recordBegun() {
+	if m.now.Mono-m.begunAt < begunEvery {
+		return
+	}
+	m.begunAt = m.now.Mono
+	for id, j := range m.begun {
+		if j.visible == cell.StateQueued && m.jobs[id] == j {
+			m.markDirty(j)
+		}
+	}
+	clear(m.begun)
+}
+
 // State returns the recorded state of a job that the owner holds.
 func (m *Machine) State(id cell.JobID) (cell.State, bool) {
 	j, ok := m.jobs[id]
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -243,10 +243,21 @@
 	if r.phase != phaseSent {
 		return
 	}
+	m.running(r)
+}
+
+// running notes that a run is on its worker. A job counts as waiting until one
+// of its tasks has started.
+func (m *Machine) running(r *run) {
 	r.phase = phaseRunning
+	r.inherited = false
 	r.settledAt = m.now.Mono
 	r.startedAt = m.now.Mono
 	r.percentAt = m.now.Mono
+	if r.job.state == cell.StateQueued {
+		r.job.state = cell.StateRunning
+		m.begun[r.job.def.ID] = r.job
+	}
 }
 
 // startRefused puts the task back. A run of which an earlier order was left
@@ -309,11 +320,7 @@
 func (m *Machine) runListed(r *run, row cell.Running) {
 	switch r.phase {
 	case phaseSent, phaseInherited, phaseRecording:
-		r.phase = phaseRunning
-		r.inherited = false
-		r.settledAt = m.now.Mono
-		r.startedAt = m.now.Mono
-		r.percentAt = m.now.Mono
+		m.running(r)
 	case phaseEnding:
 		if m.now.Mono-r.settledAt > endPatience {
 			r.phase = phaseRunning
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -148,7 +148,7 @@
 		placed++
 	}
 	if placed > 0 {
-		m.begin(s.job)
+		m.begin(s, placed)
 	}
 	if rest := len(pending) - placed; rest > 0 && q.Advice != nil {
 		m.ask(s, q, rest)
@@ -182,7 +182,7 @@
 		planned = append(planned, m.plan(s, i, number, w))
 	}
 	if len(planned) == len(pending) {
-		m.begin(s.job)
+		m.begin(s, len(planned))
 		return
 	}
 	for _, r := range planned {
@@ -215,11 +215,10 @@
 }
 
 // begin has planned runs recorded, after which their orders are sent.
-func (m *Machine) begin(j *job) {
-	if j.state == cell.StateQueued {
-		j.state = cell.StateRunning
-	}
-	m.markDirty(j)
+func (m *Machine) begin(s *step, planned int) {
+	m.decide(s.id.String(), "tasks are planned", "tasks", planned, "run", s.lastRun,
+		"waited_ms", (m.now.Mono - s.readyAt).Milliseconds())
+	m.markDirty(s.job)
 }
 
 // unplan takes a planned run back.
