--- /dev/null
+++ b/internal/cell/election/election_test.go
@@ -0,0 +1,161 @@
+package election
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/standin/cellstore"
+)
+
+func newElection(store cell.Store, name string) *Election {
+	begin := time.Now()
+	return New(store, Options{
+		Node: name, Addr: name + ":1", Instance: name + "-1",
+		Latency: func() time.Duration { return 0 },
+		Now:     func() time.Duration { return time.Since(begin) },
+		Seen:    func(Record) {},
+		Beaten:  func() {},
+		Log:     func(string, ...any) {},
+	})
+}
+
+// loaded returns an election that has read the record.
+func loaded(t *testing.T, store cell.Store, name string) *Election {
+	t.Helper()
+	e := newElection(store, name)
+	if err := e.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// TestOneOfTwoClaimsWins guards against two owners of one term.
+func TestOneOfTwoClaimsWins(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a, b := loaded(t, store, "a"), loaded(t, store, "b")
+	term, won, err := a.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	is.Equal(term, int64(1))
+	_, won, err = b.claim(context.Background())
+	is.NoErr(err)
+	is.True(!won) // b's condition does not hold any more
+	is.Equal(b.Last().Node, "a")
+}
+
+// TestClaimWithLostAnswerIsRecognised guards against an owner that does not know
+// of its ownership, so that nobody owns the cell until its beats are missed.
+func TestClaimWithLostAnswerIsRecognised(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	e := loaded(t, store, "a")
+	store.SetFault(func(call string, _ cell.Topic) cellstore.Fault {
+		if call == "append" {
+			return cellstore.LoseAnswer
+		}
+		return cellstore.None
+	})
+	_, won, err := e.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+}
+
+// TestRecordOfFormerProcessIsNotOwn guards against a restarted process that
+// takes the record of its former life for its own.
+func TestRecordOfFormerProcessIsNotOwn(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	_, won, err := loaded(t, store, "a").claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	again := newElection(store, "a")
+	again.opts.Instance = "a-2"
+	is.NoErr(again.load(context.Background()))
+	is.True(!again.ownsLast())
+}
+
+// TestBeatOfDeposedOwnerFails guards against an owner that goes on after a
+// successor has claimed.
+func TestBeatOfDeposedOwnerFails(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a := loaded(t, store, "a")
+	_, _, err := a.claim(context.Background())
+	is.NoErr(err)
+	b := loaded(t, store, "b")
+	_, won, err := b.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	is.True(errors.Is(a.beat(context.Background()), ErrDeposed))
+}
+
+// TestBeatWithLostAnswerGoesOn guards against an owner that takes its own beat
+// for another VM's claim.
+func TestBeatWithLostAnswerGoesOn(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a := loaded(t, store, "a")
+	_, _, err := a.claim(context.Background())
+	is.NoErr(err)
+	store.SetFault(func(call string, _ cell.Topic) cellstore.Fault {
+		if call == "append" {
+			return cellstore.LoseAnswer
+		}
+		return cellstore.None
+	})
+	is.True(a.beat(context.Background()) != nil) // the answer is lost
+	store.SetFault(nil)
+	is.NoErr(a.beat(context.Background())) // a conflict with the own beat
+	is.NoErr(a.beat(context.Background()))
+}
+
+// TestNoClaimWhileStoreIsDown guards against a claim on the ground of an outage
+// of the store: beats are missing then although the owner is well.
+func TestNoClaimWhileStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	_, _, err := loaded(t, store, "a").claim(context.Background())
+	is.NoErr(err)
+	b := loaded(t, store, "b")
+	store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Refuse })
+	silent, err := b.follow(context.Background())
+	is.True(err != nil)
+	is.True(!silent)
+}
+
+// TestClosedPortAllowsClaimAtOnce guards the short takeover after the end of the
+// owner's process; without the suspicion the wait is ClaimAfter.
+func TestClosedPortAllowsClaimAtOnce(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	_, _, err := loaded(t, store, "a").claim(context.Background())
+	is.NoErr(err)
+	b := loaded(t, store, "b")
+	b.opts.Delay = time.Hour // the test would not end if the wait were kept
+	b.Suspect()
+	silent, err := b.follow(context.Background())
+	is.NoErr(err)
+	is.True(silent)
+}
+
+// TestSuspicionOfLivingOwnerIsDropped guards against a claim when the suspected
+// owner has written a beat meanwhile.
+func TestSuspicionOfLivingOwnerIsDropped(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a := loaded(t, store, "a")
+	_, _, err := a.claim(context.Background())
+	is.NoErr(err)
+	b := loaded(t, store, "b")
+	is.NoErr(a.beat(context.Background()))
+	b.Suspect()
+	silent, err := b.follow(context.Background())
+	is.NoErr(err)
+	is.True(!silent)
+}
