Tell the owner of jobs directly; greet instead of reading beats; append through the owner

Change: the acceptor notifies the owner; followers greet it every 0.3 s and read beats only if it does not answer or its beats fail; the owner appends for a VM without the store; the owner's restart or closed port allows a claim at once.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +29,8 @@
 	// latencyFactor times the latency of the store is added to ClaimAfter: both
 	// a beat and its reading take longer then.
 	latencyFactor = 3
+	// watchEvery is how often a VM looks whether the owner is well.
+	watchEvery = 150 * time.Millisecond
 	// callTimeout bounds one call to the store. The slowest store seen answers
 	// after 0.35 s.
 	callTimeout = 600 * time.Millisecond
@@ -55,6 +58,8 @@
 	Instance string
 	// Delay is added to ClaimAfter, so that better suited VMs claim first.
 	Delay time.Duration
+	// Alive tells of the owner as heard from it directly.
+	Alive func() Heard
 	// Latency is the latest latency of the store.
 	Latency func() time.Duration
 	// Now counts while the machine is suspended, too.
@@ -67,32 +72,48 @@
 	Log func(message string, details ...any)
 }
 
+// Heard is what the owner said of itself.
+type Heard struct {
+	// Well is true if the owner answered lately and the store accepts its beats.
+	Well bool
+	// Offset is where the topic ended after its last beat.
+	Offset int64
+	// Failing is true if the owner answered lately and the store does not accept
+	// its beats.
+	Failing bool
+}
+
 // Election follows the owner's record and claims when there is no owner.
 type Election struct {
 	opts  Options
 	store cell.Store
 	next  int64
-	last  Record
-	// suspect is filled when the owner's process is known to have ended.
-	suspect chan struct{}
+	// nextSeen is next after the last beat, for other goroutines.
+	nextSeen atomic.Int64
+	last     Record
+	// suspect receives the instance of an owner whose process has ended.
+	suspect chan string
 	// yieldUntil keeps a VM that resigned from claiming at once.
 	yieldUntil time.Duration
 }
 
 // New returns an election that has read nothing.
 func New(store cell.Store, opts Options) *Election {
-	return &Election{opts: opts, store: store, suspect: make(chan struct{}, 1)}
+	return &Election{opts: opts, store: store, suspect: make(chan string, 1)}
 }
 
-// Suspect says that the owner's process has ended, so that a claim need not
+// Suspect says that the process of an owner has ended, so that a claim need not
 // wait for missing beats.
-func (e *Election) Suspect() {
+func (e *Election) Suspect(instance string) {
 	select {
-	case e.suspect <- struct{}{}:
+	case e.suspect <- instance:
 	default:
 	}
 }
 
+// Next returns the offset at which the topic ended last.
+func (e *Election) Next() int64 { return e.nextSeen.Load() }
+
 // Last returns the newest record that was read.
 func (e *Election) Last() Record { return e.last }
 
@@ -107,7 +128,7 @@
 			}
 			loaded = true
 		}
-		silent, err := e.follow(ctx)
+		gone, err := e.follow(ctx)
 		if err == nil && e.ownsLast() {
 			// A claim without an answer was executed later.
 			return e.last.Term, nil
@@ -119,7 +140,7 @@
 		case err != nil:
 			e.pause(ctx, retryPause)
 			continue
-		case !silent || e.opts.Now() < e.yieldUntil:
+		case !gone || e.opts.Now() < e.yieldUntil:
 			continue
 		}
 		term, won, err := e.claim(ctx)
@@ -146,37 +167,44 @@
 	return nil
 }
 
-// follow reads once and reports whether the store told of no beat for so long
-// that the owner must be gone.
-func (e *Election) follow(ctx context.Context) (silent bool, err error) {
-	wait := ClaimAfter + e.opts.Delay + latencyFactor*e.opts.Latency()
-	if e.last.Resigned {
-		wait = e.opts.Delay
+// follow watches the owner once, and reports whether it must be gone: its
+// process has ended, or the store tells of no beat.
+func (e *Election) follow(ctx context.Context) (gone bool, err error) {
+	if e.last.Instance != "" && e.last.Addr == e.opts.Addr && e.last.Instance != e.opts.Instance {
+		// The owner was a former process of this VM.
+		return e.confirm(ctx, e.last.Instance)
 	}
-	begin := e.opts.Now()
-	batch, suspected, err := e.read(ctx, wait)
-	if suspected {
-		wait = 0
+	heard := e.opts.Alive()
+	if heard.Well {
+		e.next = max(e.next, heard.Offset)
+		return e.rest(ctx, watchEvery)
 	}
-	if err != nil {
-		return false, err
+	wait := ClaimAfter + e.opts.Delay + latencyFactor*e.opts.Latency()
+	if heard.Failing {
+		wait -= ClaimAfter / 2
 	}
-	if len(batch.Records) > 0 {
-		e.take(batch)
-		e.next = batch.Next
-		return false, nil
+	if e.last.Resigned {
+		wait = e.opts.Delay
 	}
-	// A store that answers early has not waited for a beat.
-	if rest := wait - (e.opts.Now() - begin); rest > 0 {
-		e.pause(ctx, rest)
+	return e.await(ctx, wait)
+}
+
+// rest waits for a suspicion.
+func (e *Election) rest(ctx context.Context, d time.Duration) (gone bool, err error) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case instance := <-e.suspect:
+		return e.confirm(ctx, instance)
+	case <-timer.C:
 		return false, nil
 	}
-	return true, nil
 }
 
-// read reads on. A suspicion ends the wait; what was written until then is read
-// once more.
-func (e *Election) read(ctx context.Context, wait time.Duration) (batch cell.Batch, suspected bool, err error) {
+// await waits for a beat. A suspicion ends the wait.
+func (e *Election) await(ctx context.Context, wait time.Duration) (gone bool, err error) {
 	type result struct {
 		batch cell.Batch
 		err   error
@@ -184,19 +212,49 @@
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan result, 1)
+	from := e.next
+	begin := e.opts.Now()
 	go func() {
-		batch, err := e.store.Read(readCtx, cell.TopicOwner, e.next, wait)
+		batch, err := e.store.Read(readCtx, cell.TopicOwner, from, wait)
 		done <- result{batch, err}
 	}()
+	var r result
 	select {
-	case r := <-done:
-		return r.batch, false, r.err
-	case <-e.suspect:
+	case r = <-done:
+	case instance := <-e.suspect:
+		cancel()
+		<-done
+		return e.confirm(ctx, instance)
+	}
+	if r.err != nil {
+		return false, r.err
+	}
+	if len(r.batch.Records) > 0 {
+		e.take(r.batch)
+		e.next = r.batch.Next
+		return false, nil
+	}
+	// A store that answers early has not waited for a beat.
+	if rest := wait - (e.opts.Now() - begin); rest > 0 {
+		return e.rest(ctx, rest)
+	}
+	return true, nil
+}
+
+// confirm reads to the end and reports whether the suspected process is still
+// the last that owned the cell.
+func (e *Election) confirm(ctx context.Context, instance string) (gone bool, err error) {
+	for {
+		batch, err := e.store.Read(ctx, cell.TopicOwner, e.next, 0)
+		if err != nil {
+			return false, err
+		}
+		e.take(batch)
+		e.next = batch.Next
+		if batch.Next >= batch.End {
+			return e.last.Instance == instance, nil
+		}
 	}
-	cancel()
-	<-done
-	batch, err = e.store.Read(ctx, cell.TopicOwner, e.next, 0)
-	return batch, true, err
 }
 
 // take remembers the newest record of a batch.
@@ -296,6 +354,7 @@
 	end, err := e.append(ctx, rec)
 	if err == nil {
 		e.next = end
+		e.nextSeen.Store(end)
 		e.opts.Beaten()
 		return nil
 	}
@@ -315,6 +374,7 @@
 	if !e.ownsLast() {
 		return eris.Wrapf(ErrDeposed, "%s holds term %d", e.last.Node, e.last.Term)
 	}
+	e.nextSeen.Store(e.next)
 	e.opts.Beaten()
 	return nil
 }
--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -18,6 +18,7 @@
 		Node: name, Addr: name + ":1", Instance: name + "-1",
 		Latency: func() time.Duration { return 0 },
 		Now:     func() time.Duration { return time.Since(begin) },
+		Alive:   func() Heard { return Heard{} },
 		Seen:    func(Record) {},
 		Beaten:  func() {},
 		Log:     func(string, ...any) {},
@@ -138,24 +139,57 @@
 	is.NoErr(err)
 	b := loaded(t, store, "b")
 	b.opts.Delay = time.Hour // the test would not end if the wait were kept
-	b.Suspect()
+	b.Suspect("a-1")
 	silent, err := b.follow(context.Background())
 	is.NoErr(err)
 	is.True(silent)
 }
 
-// TestSuspicionOfLivingOwnerIsDropped guards against a claim when the suspected
-// owner has written a beat meanwhile.
-func TestSuspicionOfLivingOwnerIsDropped(t *testing.T) {
+// TestSuspicionOfFormerOwnerIsDropped guards against a claim on the ground of a
+// suspicion that is about an owner before the present one.
+func TestSuspicionOfFormerOwnerIsDropped(t *testing.T) {
 	is := is.New(t)
 	store := &cellstore.Store{}
-	a := loaded(t, store, "a")
-	_, _, err := a.claim(context.Background())
+	_, _, err := loaded(t, store, "a").claim(context.Background())
+	is.NoErr(err)
+	b, c := loaded(t, store, "b"), loaded(t, store, "c")
+	_, won, err := c.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	b.Suspect("a-1")
+	gone, err := b.follow(context.Background())
+	is.NoErr(err)
+	is.True(!gone)
+}
+
+// TestOwnersRestartAllowsClaimAtOnce guards the short takeover after a loss of
+// all VMs: the owner's former process is known to have ended.
+func TestOwnersRestartAllowsClaimAtOnce(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	_, _, err := loaded(t, store, "a").claim(context.Background())
+	is.NoErr(err)
+	again := newElection(store, "a")
+	again.opts.Instance = "a-2"
+	again.opts.Delay = time.Hour // the test would not end if the wait were kept
+	is.NoErr(again.load(context.Background()))
+	gone, err := again.follow(context.Background())
+	is.NoErr(err)
+	is.True(gone)
+}
+
+// TestOwnerThatIsWellIsNotReadAbout guards the saving of reads: beats that the
+// owner tells of are skipped.
+func TestOwnerThatIsWellIsNotReadAbout(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	_, _, err := loaded(t, store, "a").claim(context.Background())
 	is.NoErr(err)
 	b := loaded(t, store, "b")
-	is.NoErr(a.beat(context.Background()))
-	b.Suspect()
-	silent, err := b.follow(context.Background())
+	b.opts.Alive = func() Heard { return Heard{Well: true, Offset: 9} }
+	store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Refuse })
+	gone, err := b.follow(context.Background())
 	is.NoErr(err)
-	is.True(!silent)
+	is.True(!gone)
+	is.Equal(b.next, int64(9))
 }
--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -25,8 +25,8 @@
 	// tryPause is the pause between tries.
 	tryPause = 20 * time.Millisecond
 	// downAfter is how long an append may be tried before the store counts as
-	// down for this VM and new submissions are not sent.
-	downAfter = 400 * time.Millisecond
+	// down for this VM: the first two tries.
+	downAfter = 250 * time.Millisecond
 	// commitBatch bounds the records of one append.
 	commitBatch = 64
 	// commitQueue bounds the records that wait.
@@ -50,21 +50,30 @@
 	p.latency.Store(int64(took))
 }
 
-// submission is a record that waits to be appended to topic jobs.
+// submission are records that wait to be appended to topic jobs.
 type submission struct {
-	ctx  context.Context
-	kv   cell.KeyValue
-	done chan error
+	ctx     context.Context
+	records []cell.KeyValue
+	done    chan error
 }
 
+// relayFunc appends records through the owner. It fails with errNoRelay if the
+// owner cannot be asked.
+type relayFunc func(ctx context.Context, records []cell.KeyValue) error
+
+// errNoRelay means that nothing was sent to the owner.
+var errNoRelay = errors.New("no owner can be asked to append")
+
 // errStoreDown is the cause of submissions that were not sent.
 var errStoreDown = errors.New("the store does not answer this VM")
 
 // committer appends records to topic jobs, one batch at a time. While a batch
 // is without an answer no other is sent, so that the records that wait can be
-// answered as not run.
+// answered as not run. If the store does not answer this VM, the owner appends
+// for it; repetitions are harmless, since the records are the same.
 type committer struct {
 	store    cell.Store
+	relay    relayFunc
 	log      hclog.Logger
 	patience patience
 	queue    chan submission
@@ -74,8 +83,8 @@
 	readAt func() time.Duration
 }
 
-func newCommitter(store cell.Store, log hclog.Logger, readAt func() time.Duration) *committer {
-	return &committer{store: store, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
+func newCommitter(store cell.Store, log hclog.Logger, relay relayFunc, readAt func() time.Duration) *committer {
+	return &committer{store: store, relay: relay, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
 }
 
 // down reports whether the store counts as down. A read that succeeded since
@@ -85,13 +94,13 @@
 	return since != 0 && c.readAt() < since
 }
 
-// append appends a record. A NotRunError means that it was certainly not
+// append appends records. A NotRunError means that they were certainly not
 // appended; any other error leaves it open.
-func (c *committer) append(ctx context.Context, kv cell.KeyValue) error {
+func (c *committer) append(ctx context.Context, records []cell.KeyValue) error {
 	if c.down() {
-		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+		return c.appendByRelay(ctx, records)
 	}
-	s := submission{ctx: ctx, kv: kv, done: make(chan error, 1)}
+	s := submission{ctx: ctx, records: records, done: make(chan error, 1)}
 	select {
 	case c.queue <- s:
 	default:
@@ -100,6 +109,15 @@
 	return <-s.done
 }
 
+// appendByRelay appends through the owner alone.
+func (c *committer) appendByRelay(ctx context.Context, records []cell.KeyValue) error {
+	err := c.relay(ctx, records)
+	if errors.Is(err, errNoRelay) || errors.Is(err, cell.ErrNotDone) {
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+	}
+	return err
+}
+
 // run appends batches until the context ends.
 func (c *committer) run(ctx context.Context) {
 	for {
@@ -126,28 +144,27 @@
 	return batch
 }
 
-// commit appends a batch, again until it is answered or no caller waits.
+// commit appends a batch, by turns itself and through the owner, until one is
+// answered or no caller waits.
 func (c *committer) commit(ctx context.Context, batch []submission) {
 	began := boot()
 	unknown := false
 	for try := 0; ; try++ {
-		took, err := c.once(ctx, batch, c.patience.try(try))
+		err := c.once(ctx, batch, try)
 		if err == nil {
-			c.patience.succeeded(took)
-			c.downSince.Store(0)
 			answer(batch, nil)
 			return
 		}
 		refused := errors.Is(err, cell.ErrNotDone)
 		if refused && !unknown {
 			c.markDown(err)
-			answer(batch, &cell.NotRunError{After: cell.ReturnSoon, Cause: err})
+			c.passOn(ctx, batch)
 			return
 		}
 		unknown = unknown || !refused
 		if boot()-began > downAfter {
 			c.markDown(err)
-			c.refuseWaiting()
+			c.passWaitingOn(ctx)
 		}
 		batch = waitingOf(batch, err)
 		if len(batch) == 0 {
@@ -161,6 +178,51 @@
 	}
 }
 
+// once tries to append a batch: by the store, and if that fails by the owner.
+func (c *committer) once(ctx context.Context, batch []submission, try int) error {
+	records := recordsOf(batch)
+	began := boot()
+	err := c.appendOnce(ctx, records, c.patience.try(try))
+	if err == nil {
+		c.patience.succeeded(boot() - began)
+		c.downSince.Store(0)
+		return nil
+	}
+	if errors.Is(err, cell.ErrNotDone) {
+		return err
+	}
+	relayed := c.relay(ctx, records)
+	if relayed == nil {
+		return nil
+	}
+	// The own append is still unknown, whatever the owner says.
+	return err
+}
+
+func (c *committer) appendOnce(ctx context.Context, records []cell.KeyValue, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
+	return err
+}
+
+// passOn has records that were not sent appended through the owner.
+func (c *committer) passOn(ctx context.Context, batch []submission) {
+	go func() {
+		for _, s := range batch {
+			s.done <- c.appendByRelay(ctx, s.records)
+		}
+	}()
+}
+
+func recordsOf(batch []submission) []cell.KeyValue {
+	var records []cell.KeyValue
+	for _, s := range batch {
+		records = append(records, s.records...)
+	}
+	return records
+}
+
 // markDown notes that the store does not answer this VM.
 func (c *committer) markDown(err error) {
 	if !c.down() {
@@ -169,30 +231,20 @@
 	c.downSince.Store(int64(boot()))
 }
 
-// refuseWaiting answers the records that were not sent.
-func (c *committer) refuseWaiting() {
+// passWaitingOn passes on the records that were not sent.
+func (c *committer) passWaitingOn(ctx context.Context) {
+	var waiting []submission
 	for {
 		select {
 		case s := <-c.queue:
-			s.done <- &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+			waiting = append(waiting, s)
 		default:
+			c.passOn(ctx, waiting)
 			return
 		}
 	}
 }
 
-func (c *committer) once(ctx context.Context, batch []submission, timeout time.Duration) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	records := make([]cell.KeyValue, 0, len(batch))
-	for _, s := range batch {
-		records = append(records, s.kv)
-	}
-	began := boot()
-	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
-	return boot() - began, err
-}
-
 // waitingOf answers those whose caller waits no longer and returns the others.
 func waitingOf(batch []submission, err error) []submission {
 	rest := batch[:0]
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -12,18 +12,17 @@
 )
 
 const (
-	// relayFresh is how recent the owner's last answer must be for it to be asked
-	// to append.
-	relayFresh = time.Second
 	// relayTimeout bounds an append through the owner.
-	relayTimeout = 900 * time.Millisecond
+	relayTimeout = 500 * time.Millisecond
+	// notifyTimeout bounds telling the owner of a record.
+	notifyTimeout = 300 * time.Millisecond
 	// answerMargin is kept of a caller's deadline for the answer to arrive.
 	answerMargin = 150 * time.Millisecond
 	// askOwnerTimeout bounds the owner's answer about a job.
 	askOwnerTimeout = 300 * time.Millisecond
 	// unreadLimit is how long this VM may not have read the store before it asks
 	// to be taken out of rotation.
-	unreadLimit = 1500 * time.Millisecond
+	unreadLimit = 1800 * time.Millisecond
 )
 
 // Config returns the configuration in force, or nil.
@@ -39,7 +38,7 @@
 	if !n.jobs.loaded.Load() || !n.progress.loaded.Load() {
 		return false
 	}
-	if n.owning() != nil {
+	if n.owning() != nil || n.ownerAnswers() != nil {
 		return true
 	}
 	return boot()-time.Duration(n.jobs.readAt.Load()) < unreadLimit
@@ -69,7 +68,6 @@
 	}
 	n.count("submit", "accepted")
 	n.log.Info("job is accepted", "id", string(job.ID), "queue", job.Queue.Name, "steps", len(job.Steps))
-	n.takeJobs([]cell.KeyValue{kv})
 	return nil
 }
 
@@ -85,27 +83,42 @@
 	n.metrics.requests.WithLabelValues(operation, outcome).Inc()
 }
 
-// appendJobs appends a record to topic jobs, through the owner if the store does
-// not answer this VM.
+// appendJobs appends a record to topic jobs and tells the owner of it.
 func (n *Node) appendJobs(ctx context.Context, kv cell.KeyValue) error {
+	records := []cell.KeyValue{kv}
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	if n.committer.down() {
-		if p := n.ownerPeer(); p != nil && boot()-time.Duration(n.greetedAt.Load()) < relayFresh {
-			return n.relay(ctx, p, kv)
-		}
+	if err := n.committer.append(ctx, records); err != nil {
+		return err
+	}
+	n.takeJobs(records)
+	if p := n.ownerPeer(); p != nil {
+		go n.notify(p, records)
+	}
+	return nil
+}
+
+// notify tells the owner of records; if that fails it reads them.
+func (n *Node) notify(p cellpb.Cell, records []cell.KeyValue) {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	if _, err := p.Notify(ctx, &cellpb.NotifyRequest{Records: toWire(records)}); err != nil {
+		n.count("notify", "failed")
 	}
-	return n.committer.append(ctx, kv)
 }
 
-// relay has the owner append a record.
-func (n *Node) relay(ctx context.Context, p cellpb.Cell, kv cell.KeyValue) error {
+// relay has the owner append records.
+func (n *Node) relay(ctx context.Context, records []cell.KeyValue) error {
+	p := n.ownerAnswers()
+	if p == nil || n.owning() != nil {
+		return errNoRelay
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	resp, err := p.Append(ctx, &cellpb.AppendRequest{Key: kv.Key, Value: kv.Value})
+	resp, err := p.Append(ctx, &cellpb.AppendRequest{Records: toWire(records)})
 	switch {
 	case err != nil:
 		return eris.Wrap(err, "append through the owner")
@@ -113,7 +126,7 @@
 		n.count("relay", "done")
 		return nil
 	case resp.Outcome == cellpb.AppendResponse_NOT_DONE:
-		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
+		return eris.Wrap(cell.ErrNotDone, "append through the owner")
 	default:
 		return eris.New("the owner does not know whether the append was executed")
 	}
@@ -188,7 +201,6 @@
 		return false, err
 	}
 	n.count("cancel", "accepted")
-	n.takeJobs([]cell.KeyValue{kv})
 	return true, nil
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -80,9 +80,16 @@
 	committer *committer
 	// progressPatience bounds the tries of appends of progress.
 	progressPatience patience
-	// greetedAt is when the owner last answered a greeting, in boot time.
-	greetedAt atomic.Int64
-	draining  atomic.Bool
+	// heard is the owner's last answer to a greeting.
+	heard atomic.Pointer[heardOwner]
+	// beatAt is when the store accepted this owner's last beat, in boot time.
+	beatAt atomic.Int64
+	// unheardAt is when the owner last read a submission that it had not heard
+	// of, in boot time.
+	unheardAt atomic.Int64
+	// met holds the addresses of other VMs, under mu.
+	met      []string
+	draining atomic.Bool
 	// ownCtx ends when this VM may own the cell no longer.
 	ownCtx     context.Context
 	stopOwning context.CancelFunc
@@ -104,16 +111,17 @@
 	}
 	n.ownCtx, n.stopOwning = context.WithCancel(context.Background())
 	n.metrics = newMetrics(func() float64 { return float64(n.mirror.size()) })
-	n.jobs = n.newTail(cell.TopicJobs, n.takeJobs)
+	n.jobs = n.newTail(cell.TopicJobs, n.readJobs)
 	n.progress = n.newTail(cell.TopicProgress, n.takeProgress)
 	n.configs = n.newTail(cell.TopicConfig, n.takeConfigs)
-	n.committer = newCommitter(n.store, n.log, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
+	n.committer = newCommitter(n.store, n.log, n.relay, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
 	n.election = election.New(n.store, election.Options{
 		Node:     settings.Name,
 		Addr:     settings.Peers,
 		Instance: n.instance,
 		Delay:    claimDelay(settings),
 		Now:      boot,
+		Alive:    n.alive,
 		Latency:  func() time.Duration { return time.Duration(n.jobs.latency.Load()) },
 		Seen:     n.ownerSeen,
 		Beaten:   n.beaten,
@@ -123,7 +131,7 @@
 }
 
 func (n *Node) newTail(topic cell.Topic, take func([]cell.KeyValue)) *tail {
-	return &tail{store: n.store, topic: topic, take: take, report: func(message string, details ...any) {
+	return &tail{store: n.store, topic: topic, take: take, woken: make(chan struct{}, 1), report: func(message string, details ...any) {
 		n.log.Info(message, details...)
 	}}
 }
@@ -190,28 +198,39 @@
 	context.AfterFunc(ctx, func() { server.Close() })
 }
 
+// configEvery is how often the configuration is read. It is in force after 2 s;
+// the owner's answers to greetings tell of a new version sooner.
+const configEvery = 800 * time.Millisecond
+
+// followConfigs reads the configuration.
 func (n *Node) followConfigs(ctx context.Context) {
-	n.configs.follow(ctx, func() time.Duration { return configWait }, followEvery)
+	n.configs.follow(ctx, func() time.Duration { return 0 }, func() time.Duration { return configEvery })
 }
 
-// configWait is how long a read waits for a configuration. A connection that
-// has gone silent is noticed within it, and a version is in force after 2 s.
-const configWait = 900 * time.Millisecond
-
+// followJobs reads submissions. The owner hears of them from the other VMs; if
+// some arrive by reading first, it waits for them at the store.
 func (n *Node) followJobs(ctx context.Context) {
-	n.jobs.follow(ctx, func() time.Duration {
-		if n.owning() != nil {
+	unheard := func() bool { return boot()-time.Duration(n.unheardAt.Load()) < unheardFor }
+	wait := func() time.Duration {
+		if n.owning() != nil && unheard() {
 			return ownerWait
 		}
 		return 0
-	}, followEvery)
+	}
+	every := func() time.Duration {
+		if n.owning() != nil {
+			return ownerEvery
+		}
+		return followEvery
+	}
+	n.jobs.follow(ctx, wait, every)
 }
 
 // followProgress reads the progress; the owner knows what it writes itself.
 func (n *Node) followProgress(ctx context.Context) {
 	for ctx.Err() == nil {
 		if n.owning() != nil {
-			pause(ctx, followEvery)
+			pause(ctx, ownerEvery)
 			continue
 		}
 		_, err := n.progress.read(ctx, 0)
@@ -239,9 +258,16 @@
 	}
 }
 
-// takeJobs takes submissions and cancellings over, and passes new ones on to
-// the control loop if this VM owns the cell.
-func (n *Node) takeJobs(records []cell.KeyValue) {
+// readJobs takes over what was read of topic jobs.
+func (n *Node) readJobs(records []cell.KeyValue) {
+	if n.takeJobs(records) && n.owning() != nil {
+		n.unheardAt.Store(int64(boot()))
+	}
+}
+
+// takeJobs takes submissions and cancellings over, passes new ones on to the
+// control loop if this VM owns the cell, and reports whether there were any.
+func (n *Node) takeJobs(records []cell.KeyValue) (fresh bool) {
 	for _, kv := range records {
 		r, err := cell.ParseRecord(kv.Key, kv.Value)
 		if err != nil {
@@ -249,12 +275,14 @@
 			continue
 		}
 		ch := n.mirror.apply(r)
+		fresh = fresh || ch.fresh
 		// A new owner sets its control loop before it reads the mirror, so that a
 		// record is in the one or reaches the other.
 		if c := n.owning(); c != nil && ch.fresh {
 			c.passOn(r, n.log)
 		}
 	}
+	return fresh
 }
 
 func (n *Node) takeProgress(records []cell.KeyValue) {
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -229,6 +229,7 @@
 
 // beaten notes that the store accepted a beat.
 func (n *Node) beaten() {
+	n.beatAt.Store(int64(boot()))
 	if c := n.owning(); c != nil {
 		select {
 		case c.events <- owner.StoreReached{}:
@@ -236,7 +237,7 @@
 			// The loop is behind; the next beat is 0.4 s away.
 		}
 	}
-	n.owner.Store(&election.Record{Term: n.election.Last().Term, Node: n.settings.Name, Addr: n.settings.Peers})
+	n.owner.Store(&election.Record{Term: n.election.Last().Term, Node: n.settings.Name, Addr: n.settings.Peers, Instance: n.instance})
 }
 
 // GiveUp ends the ownership of a VM that is about to stop, and keeps it from
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -18,10 +17,6 @@
 	peerConns = 16
 	// peerIdle closes idle connections between VMs.
 	peerIdle = 15 * time.Second
-	// greetEvery is how often a VM makes itself known to the owner.
-	greetEvery = 300 * time.Millisecond
-	// greetTimeout bounds a greeting.
-	greetTimeout = 500 * time.Millisecond
 )
 
 func dialPeer(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -53,12 +48,15 @@
 
 // Append implements cellpb.Cell.
 func (s *rpcServer) Append(ctx context.Context, req *cellpb.AppendRequest) (*cellpb.AppendResponse, error) {
-	kv := cell.KeyValue{Key: req.Key, Value: req.Value}
-	err := s.node.committer.append(ctx, kv)
+	records := fromWire(req.Records)
+	if s.node.owning() == nil {
+		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_NOT_DONE}, nil
+	}
+	err := s.node.committer.append(ctx, records)
 	var notRun *cell.NotRunError
 	switch {
 	case err == nil:
-		s.node.takeJobs([]cell.KeyValue{kv})
+		s.node.takeJobs(records)
 		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_DONE}, nil
 	case errors.As(err, &notRun):
 		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_NOT_DONE}, nil
@@ -67,18 +65,49 @@
 	}
 }
 
+// Notify implements cellpb.Cell.
+func (s *rpcServer) Notify(_ context.Context, req *cellpb.NotifyRequest) (*cellpb.NotifyResponse, error) {
+	s.node.takeJobs(fromWire(req.Records))
+	return &cellpb.NotifyResponse{}, nil
+}
+
+func toWire(records []cell.KeyValue) []*cellpb.Record {
+	out := make([]*cellpb.Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, &cellpb.Record{Key: r.Key, Value: r.Value})
+	}
+	return out
+}
+
+func fromWire(records []*cellpb.Record) []cell.KeyValue {
+	out := make([]cell.KeyValue, 0, len(records))
+	for _, r := range records {
+		out = append(out, cell.KeyValue{Key: r.Key, Value: r.Value})
+	}
+	return out
+}
+
 // Hello implements cellpb.Cell.
 func (s *rpcServer) Hello(ctx context.Context, req *cellpb.HelloRequest) (*cellpb.HelloResponse, error) {
-	c := s.node.owning()
+	n := s.node
+	resp := &cellpb.HelloResponse{Instance: n.instance, Owner: n.ownerToWire()}
+	if config := n.config.Load(); config != nil {
+		resp.ConfigVersion = config.Version
+	}
+	n.meet(req.Addr)
+	resp.Peers = n.known()
+	c := n.owning()
 	if c == nil {
-		return &cellpb.HelloResponse{}, nil
+		return resp, nil
 	}
+	resp.Well = n.beatsAccepted()
+	resp.Offset = n.election.Next()
 	select {
-	case c.hellos <- greeting{addr: req.Addr, client: s.node.peer(req.Addr)}:
+	case c.hellos <- greeting{addr: req.Addr, client: n.peer(req.Addr)}:
 	case <-c.ended:
 	case <-ctx.Done():
 	}
-	return &cellpb.HelloResponse{Owner: true}, nil
+	return resp, nil
 }
 
 // peer returns the client of another VM.
@@ -92,41 +121,3 @@
 	}
 	return p
 }
-
-// ownerPeer returns the client of the owner, or nil if there is none or it is
-// this VM.
-func (n *Node) ownerPeer() cellpb.Cell {
-	r := n.owner.Load()
-	if r == nil || r.Resigned || r.Node == n.settings.Name {
-		return nil
-	}
-	return n.peer(r.Addr)
-}
-
-// greetOwner makes this VM known to the owner, as a lane for advice.
-func (n *Node) greetOwner(ctx context.Context) {
-	for ctx.Err() == nil {
-		if p := n.ownerPeer(); p != nil {
-			n.greet(ctx, p)
-		}
-		pause(ctx, greetEvery)
-	}
-}
-
-func (n *Node) greet(ctx context.Context, p cellpb.Cell) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
-	defer cancel()
-	if _, err := p.Hello(ctx, &cellpb.HelloRequest{Name: n.settings.Name, Addr: n.settings.Peers}); err != nil {
-		if refused(err) {
-			// The owner's process has ended: no beat will come.
-			n.election.Suspect()
-		}
-		return
-	}
-	n.greetedAt.Store(int64(boot()))
-}
-
-// refused reports whether a peer's machine answered that no process listens.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/internal/cell/node/tail.go
+++ b/internal/cell/node/tail.go
@@ -11,12 +11,17 @@
 )
 
 const (
-	// followEvery is how often a VM that does not own the cell reads the topics;
-	// states must be visible within 3 s.
-	followEvery = 400 * time.Millisecond
-	// ownerWait is how long the owner's read waits for new jobs; a VM that takes
-	// over again waits for the read that is under way.
+	// followEvery is how often a VM that does not own the cell reads the topics.
+	// Jobs must be visible within 3 s, counts may be 2 s old.
+	followEvery = 900 * time.Millisecond
+	// ownerEvery is how often the owner reads submissions that it has not heard of.
+	ownerEvery = 250 * time.Millisecond
+	// ownerWait is how long the owner waits at the store for submissions while
+	// some VM cannot tell it of them; a VM that takes over again waits for the
+	// read that is under way.
 	ownerWait = time.Second
+	// unheardFor is how long the owner waits so after such a submission.
+	unheardFor = 3 * time.Second
 	// readRetry is the pause after a read that failed.
 	readRetry = 150 * time.Millisecond
 )
@@ -26,10 +31,10 @@
 	store cell.Store
 	topic cell.Topic
 	// take is called with the records of each read, in order.
-	take func([]cell.KeyValue)
-	// loaded is called after the newest records of all keys were taken.
+	take   func([]cell.KeyValue)
 	report func(message string, details ...any)
 
+	woken  chan struct{}
 	mu     sync.Mutex
 	next   atomic.Int64
 	loaded atomic.Bool
@@ -91,7 +96,7 @@
 
 // follow reads until the context ends. wait says how long the next read waits
 // for records; a read that does not wait is followed by a pause.
-func (t *tail) follow(ctx context.Context, wait func() time.Duration, every time.Duration) {
+func (t *tail) follow(ctx context.Context, wait, every func() time.Duration) {
 	for ctx.Err() == nil {
 		w := wait()
 		more, err := t.read(ctx, w)
@@ -100,11 +105,30 @@
 		case err != nil:
 			pause(ctx, readRetry)
 		case w == 0 && !more:
-			pause(ctx, every)
+			t.rest(ctx, every())
 		}
 	}
 }
 
+// wake has the next read come at once.
+func (t *tail) wake() {
+	select {
+	case t.woken <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits unless the tail is woken.
+func (t *tail) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.woken:
+	case <-timer.C:
+	}
+}
+
 // logChange logs when reads begin to fail and when they succeed again.
 func (t *tail) logChange(err error) {
 	failing := err != nil && !errors.Is(err, context.Canceled)
