--- a/internal/cell/cellpb/cell.twirp.go
+++ b/internal/cell/cellpb/cell.twirp.go
@@ -39,9 +39,13 @@
 	// Ask asks the advice service on the owner's behalf.
 	Ask(context.Context, *AskRequest) (*AskResponse, error)
 
-	// Append appends a record to topic jobs for a VM that the store does not answer.
+	// Append, Read and Newest call the store for a VM that it does not answer.
 	Append(context.Context, *AppendRequest) (*AppendResponse, error)
 
+	Read(context.Context, *ReadRequest) (*BatchResponse, error)
+
+	Newest(context.Context, *NewestRequest) (*BatchResponse, error)
+
 	// Notify tells the owner of records that are in topic jobs, so that it need not
 	// wait for its next read.
 	Notify(context.Context, *NotifyRequest) (*NotifyResponse, error)
@@ -56,7 +60,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,10 +88,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gypsumwinch.cell", "Cell")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "State",
 		serviceURL + "Ask",
 		serviceURL + "Append",
+		serviceURL + "Read",
+		serviceURL + "Newest",
 		serviceURL + "Notify",
 		serviceURL + "Hello",
 	}
@@ -238,6 +244,98 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Read(ctx context.Context, in *ReadRequest) (*BatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*BatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callRead(ctx context.Context, in *ReadRequest) (*BatchResponse, error) {
+	out := new(BatchResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellProtobufClient) Newest(ctx context.Context, in *NewestRequest) (*BatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NewestRequest) (*BatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callNewest(ctx context.Context, in *NewestRequest) (*BatchResponse, error) {
+	out := new(BatchResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *cellProtobufClient) Notify(ctx context.Context, in *NotifyRequest) (*NotifyResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
 	ctx = ctxsetters.WithServiceName(ctx, "Cell")
@@ -269,7 +367,7 @@
 
 func (c *cellProtobufClient) callNotify(ctx context.Context, in *NotifyRequest) (*NotifyResponse, error) {
 	out := new(NotifyResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -315,7 +413,7 @@
 
 func (c *cellProtobufClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	out := new(HelloResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -336,7 +434,7 @@
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -364,10 +462,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gypsumwinch.cell", "Cell")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "State",
 		serviceURL + "Ask",
 		serviceURL + "Append",
+		serviceURL + "Read",
+		serviceURL + "Newest",
 		serviceURL + "Notify",
 		serviceURL + "Hello",
 	}
@@ -518,6 +618,98 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Read(ctx context.Context, in *ReadRequest) (*BatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*BatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callRead(ctx context.Context, in *ReadRequest) (*BatchResponse, error) {
+	out := new(BatchResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellJSONClient) Newest(ctx context.Context, in *NewestRequest) (*BatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NewestRequest) (*BatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callNewest(ctx context.Context, in *NewestRequest) (*BatchResponse, error) {
+	out := new(BatchResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *cellJSONClient) Notify(ctx context.Context, in *NotifyRequest) (*NotifyResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gypsumwinch.cell")
 	ctx = ctxsetters.WithServiceName(ctx, "Cell")
@@ -549,7 +741,7 @@
 
 func (c *cellJSONClient) callNotify(ctx context.Context, in *NotifyRequest) (*NotifyResponse, error) {
 	out := new(NotifyResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -595,7 +787,7 @@
 
 func (c *cellJSONClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
 	out := new(HelloResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -716,6 +908,12 @@
 	case "Append":
 		s.serveAppend(ctx, resp, req)
 		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Newest":
+		s.serveNewest(ctx, resp, req)
+		return
 	case "Notify":
 		s.serveNotify(ctx, resp, req)
 		return
@@ -1269,6 +1467,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReadJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReadProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReadRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRequest) (*BatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return s.Cell.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BatchResponse and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReadRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReadRequest) (*BatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return s.Cell.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BatchResponse and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveNewest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNewestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNewestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveNewestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(NewestRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NewestRequest) (*BatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return s.Cell.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BatchResponse and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveNewestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(NewestRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NewestRequest) (*BatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NewestRequest) when calling interceptor")
+					}
+					return s.Cell.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BatchResponse and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) serveNotify(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -2210,46 +2768,58 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 645 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0x4d, 0x8b, 0x13, 0x4d,
-	0x10, 0x7e, 0x27, 0x93, 0xaf, 0xad, 0x7c, 0x10, 0x9a, 0x17, 0x1d, 0x82, 0xba, 0xa1, 0x61, 0x21,
-	0x17, 0xb3, 0x12, 0x41, 0xc4, 0xdb, 0xee, 0x2a, 0x2c, 0x2c, 0x26, 0xd0, 0xae, 0x0a, 0x5e, 0x96,
-	0xc9, 0x4c, 0x67, 0x1d, 0x67, 0xd2, 0x3d, 0x4e, 0x77, 0x12, 0x06, 0xaf, 0xfe, 0x33, 0xff, 0x94,
-	0x47, 0xe9, 0xaf, 0x6c, 0xb2, 0x9b, 0xe0, 0xc1, 0xcb, 0x50, 0x55, 0x5d, 0xf5, 0x74, 0x3d, 0x4f,
-	0xd5, 0x34, 0x40, 0x44, 0xb3, 0x6c, 0x94, 0x17, 0x5c, 0x72, 0xd4, 0xbb, 0x2d, 0x73, 0xb1, 0x5c,
-	0xac, 0x13, 0x16, 0x7d, 0x1d, 0xa9, 0x38, 0x1e, 0x40, 0xfb, 0x83, 0x0c, 0x25, 0x25, 0xf4, 0xfb,
-	0x92, 0x0a, 0x89, 0x7a, 0xe0, 0x7f, 0xe3, 0xb3, 0xc0, 0x1b, 0x78, 0xc3, 0x23, 0xa2, 0x4c, 0x7c,
-	0x02, 0x1d, 0x9b, 0x21, 0x72, 0xce, 0x04, 0x45, 0xff, 0x43, 0x4d, 0xa8, 0x80, 0x4d, 0x32, 0x0e,
-	0x7e, 0x03, 0x70, 0x26, 0x52, 0x07, 0x83, 0xa0, 0x2a, 0x24, 0xcd, 0x6d, 0x8a, 0xb6, 0x51, 0x00,
-	0x8d, 0x35, 0x2f, 0x52, 0x5a, 0x88, 0xa0, 0x32, 0xf0, 0x87, 0x47, 0xc4, 0xb9, 0x78, 0x05, 0x2d,
-	0x5d, 0x6b, 0x2f, 0x40, 0x50, 0x9d, 0x2d, 0x45, 0xa9, 0x8b, 0x9b, 0x44, 0xdb, 0x68, 0x0c, 0x0d,
-	0x99, 0x44, 0x29, 0x95, 0xa6, 0xb8, 0x35, 0x0e, 0x46, 0xf7, 0xb9, 0x8c, 0xae, 0x75, 0x02, 0x71,
-	0x89, 0xe8, 0x18, 0x5a, 0xab, 0x30, 0x4b, 0xe2, 0x44, 0x96, 0x37, 0x0b, 0x11, 0xf8, 0x03, 0x6f,
-	0xe8, 0x13, 0x70, 0xa1, 0xf7, 0x02, 0xbf, 0x86, 0xba, 0xa9, 0x41, 0x8f, 0xa0, 0x6e, 0x9a, 0xb1,
-	0x1d, 0x5b, 0x4f, 0xc5, 0x0d, 0x5a, 0x50, 0x31, 0x71, 0xe3, 0xe1, 0x57, 0xd0, 0xbe, 0xa4, 0x59,
-	0xc6, 0xb7, 0xf8, 0xb2, 0x70, 0xe1, 0x24, 0xd1, 0xb6, 0x8a, 0x85, 0x71, 0x5c, 0xd8, 0x4a, 0x6d,
-	0xe3, 0x5f, 0x1e, 0x74, 0x6c, 0xe1, 0x1d, 0xd9, 0x35, 0xcd, 0x32, 0x47, 0x56, 0xd9, 0xa8, 0x0f,
-	0xcd, 0x84, 0x09, 0x19, 0xb2, 0x88, 0xda, 0xea, 0x8d, 0x8f, 0x9e, 0x43, 0x8d, 0xaf, 0x19, 0x2d,
-	0x34, 0x9d, 0xd6, 0xf8, 0xf1, 0x43, 0x19, 0xa6, 0xea, 0x98, 0x98, 0x2c, 0x45, 0x80, 0xcf, 0xe7,
-	0x82, 0xca, 0xa0, 0xaa, 0xe9, 0x5b, 0x0f, 0x9d, 0x40, 0x37, 0xe2, 0x6c, 0x9e, 0xdc, 0xde, 0xac,
-	0x68, 0x21, 0x12, 0xce, 0x82, 0x9a, 0x3e, 0xef, 0x98, 0xe8, 0x27, 0x13, 0x54, 0xb3, 0xce, 0xa9,
-	0x9a, 0x58, 0x5d, 0x4f, 0xcc, 0x38, 0xf8, 0x07, 0xd4, 0xf4, 0x25, 0xaa, 0x79, 0x49, 0x8b, 0x85,
-	0x6e, 0xde, 0x27, 0xda, 0xd6, 0x52, 0xf0, 0xd8, 0x35, 0xae, 0xed, 0x8d, 0x14, 0xfe, 0x9d, 0x14,
-	0x3b, 0x24, 0xab, 0xf7, 0x48, 0xf6, 0xa1, 0x59, 0x50, 0x91, 0xdc, 0x32, 0x1a, 0xeb, 0xbe, 0x9a,
-	0x64, 0xe3, 0xe3, 0x17, 0x50, 0x27, 0x34, 0xe2, 0x45, 0xac, 0x76, 0x35, 0xa5, 0xa5, 0xdb, 0xd5,
-	0x94, 0x96, 0xaa, 0xdd, 0x55, 0x98, 0x2d, 0xcd, 0xe5, 0x6d, 0x62, 0x1c, 0x7c, 0x01, 0x9d, 0xb3,
-	0x3c, 0xa7, 0x2c, 0x76, 0xd3, 0x1a, 0x43, 0xa3, 0xd0, 0x10, 0x22, 0xf0, 0x0e, 0x2d, 0x93, 0xb9,
-	0x83, 0xb8, 0x44, 0x05, 0x32, 0xe1, 0x32, 0x99, 0x97, 0xff, 0x02, 0xd2, 0x83, 0xae, 0x03, 0x31,
-	0xe3, 0xc7, 0x3f, 0x3d, 0xe8, 0xba, 0xe6, 0xec, 0x46, 0x9c, 0x43, 0x83, 0x2f, 0x65, 0xc4, 0xed,
-	0x3a, 0x75, 0xc7, 0xc3, 0x87, 0xc0, 0xbb, 0x25, 0xa3, 0xa9, 0xc9, 0x27, 0xae, 0x10, 0x8f, 0xa0,
-	0x61, 0x63, 0xa8, 0x05, 0x8d, 0x8f, 0x93, 0xab, 0xc9, 0xf4, 0xf3, 0xa4, 0xf7, 0x1f, 0x6a, 0x42,
-	0xf5, 0xed, 0x74, 0xf2, 0xae, 0xe7, 0xa1, 0x36, 0x34, 0x27, 0xd3, 0xeb, 0x1b, 0xed, 0x55, 0xc6,
-	0xbf, 0x2b, 0x50, 0xbd, 0x50, 0xab, 0x77, 0x09, 0x35, 0xfd, 0xb7, 0xa3, 0x67, 0x0f, 0x2f, 0xdd,
-	0x7e, 0x28, 0xfa, 0xc7, 0x07, 0xcf, 0x37, 0x34, 0xfc, 0x33, 0x91, 0xa2, 0x27, 0x7b, 0x9a, 0xdf,
-	0xbc, 0x13, 0xfd, 0xa7, 0x07, 0x4e, 0x2d, 0xc6, 0x15, 0xd4, 0x0d, 0x53, 0x74, 0x7c, 0x58, 0x03,
-	0x83, 0x34, 0xf8, 0x9b, 0x48, 0x0a, 0xcc, 0x88, 0xbf, 0x0f, 0x6c, 0x67, 0xb6, 0xfb, 0xc0, 0x76,
-	0xe7, 0xa6, 0x74, 0xd2, 0xff, 0xf1, 0x3e, 0x9d, 0xb6, 0x5f, 0x86, 0x7d, 0x3a, 0xed, 0x3c, 0x00,
-	0xe7, 0xf8, 0xcb, 0x60, 0x2b, 0xe3, 0x34, 0x61, 0x92, 0x16, 0x2c, 0xcc, 0x4e, 0x55, 0xaa, 0xfe,
-	0xe4, 0xb3, 0x59, 0x5d, 0x3f, 0xdf, 0x2f, 0xff, 0x04, 0x00, 0x00, 0xff, 0xff, 0xe1, 0xef, 0xe8,
-	0x5b, 0xcc, 0x05, 0x00, 0x00,
+	// 838 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0x6d, 0x6f, 0xdb, 0x36,
+	0x10, 0x9e, 0x2c, 0x59, 0x76, 0xcf, 0xb1, 0x21, 0x10, 0xc5, 0xaa, 0x19, 0xeb, 0x6a, 0x10, 0x28,
+	0x10, 0x0c, 0x58, 0x3a, 0xb8, 0xc0, 0x30, 0xec, 0x5b, 0xe2, 0x38, 0x68, 0x97, 0x55, 0xee, 0xd8,
+	0x74, 0x1d, 0xf6, 0x25, 0x50, 0x24, 0x3a, 0xd1, 0x2c, 0x8b, 0x9a, 0x48, 0xdb, 0x33, 0xf6, 0x17,
+	0xf6, 0x0f, 0x06, 0xec, 0xcf, 0xec, 0x8f, 0x0d, 0x7c, 0xf3, 0x4b, 0xa3, 0x34, 0xc3, 0xfa, 0x45,
+	0xb8, 0x87, 0x3c, 0xde, 0xdd, 0x73, 0xf7, 0x50, 0x04, 0x48, 0x68, 0x9e, 0x1f, 0x95, 0x15, 0x13,
+	0x0c, 0x05, 0xd7, 0xeb, 0x92, 0x2f, 0xe6, 0xab, 0xac, 0x48, 0x6e, 0x8e, 0xe4, 0x3a, 0x1e, 0xc0,
+	0xc1, 0x1b, 0x11, 0x0b, 0x4a, 0xe8, 0x6f, 0x0b, 0xca, 0x05, 0x0a, 0xc0, 0xfd, 0x95, 0x5d, 0x85,
+	0xce, 0xc0, 0x39, 0x7c, 0x40, 0xa4, 0x89, 0x9f, 0x42, 0xd7, 0x78, 0xf0, 0x92, 0x15, 0x9c, 0xa2,
+	0x87, 0xd0, 0xe4, 0x72, 0xc1, 0x38, 0x69, 0x80, 0xbf, 0x03, 0x38, 0xe6, 0x33, 0x1b, 0x06, 0x81,
+	0xc7, 0x05, 0x2d, 0x8d, 0x8b, 0xb2, 0x51, 0x08, 0xad, 0x15, 0xab, 0x66, 0xb4, 0xe2, 0x61, 0x63,
+	0xe0, 0x1e, 0x3e, 0x20, 0x16, 0xe2, 0x25, 0x74, 0xd4, 0x59, 0x93, 0x00, 0x81, 0x77, 0xb5, 0xe0,
+	0x6b, 0x75, 0xb8, 0x4d, 0x94, 0x8d, 0x86, 0xd0, 0x12, 0x59, 0x32, 0xa3, 0x42, 0x1f, 0xee, 0x0c,
+	0xc3, 0xa3, 0xf7, 0xb9, 0x1c, 0x5d, 0x28, 0x07, 0x62, 0x1d, 0xd1, 0x13, 0xe8, 0x2c, 0xe3, 0x3c,
+	0x4b, 0x33, 0xb1, 0xbe, 0x9c, 0xf3, 0xd0, 0x1d, 0x38, 0x87, 0x2e, 0x01, 0xbb, 0xf4, 0x8a, 0xe3,
+	0x6f, 0xc1, 0xd7, 0x67, 0xd0, 0xa7, 0xe0, 0xeb, 0x62, 0x4c, 0xc5, 0x06, 0xc9, 0x75, 0x1d, 0x2d,
+	0x6c, 0xe8, 0x75, 0x8d, 0xf0, 0x37, 0x70, 0xf0, 0x82, 0xe6, 0x39, 0xdb, 0xe1, 0x5b, 0xc4, 0x73,
+	0xdb, 0x12, 0x65, 0xcb, 0xb5, 0x38, 0x4d, 0x2b, 0x73, 0x52, 0xd9, 0xf8, 0x1f, 0x07, 0xba, 0xe6,
+	0xe0, 0x96, 0xec, 0x8a, 0xe6, 0xb9, 0x25, 0x2b, 0x6d, 0xd4, 0x87, 0x76, 0x56, 0x70, 0x11, 0x17,
+	0x09, 0x35, 0xa7, 0x37, 0x18, 0x7d, 0x05, 0x4d, 0xb6, 0x2a, 0x68, 0xa5, 0xe8, 0x74, 0x86, 0x8f,
+	0x6e, 0xb7, 0x61, 0x22, 0xb7, 0x89, 0xf6, 0x92, 0x04, 0xd8, 0x74, 0xca, 0xa9, 0x08, 0x3d, 0x45,
+	0xdf, 0x20, 0xf4, 0x14, 0x7a, 0x09, 0x2b, 0xa6, 0xd9, 0xf5, 0xe5, 0x92, 0x56, 0x3c, 0x63, 0x45,
+	0xd8, 0x54, 0xfb, 0x5d, 0xbd, 0xfa, 0x93, 0x5e, 0x94, 0xb3, 0x2e, 0xa9, 0x9c, 0x98, 0xaf, 0x26,
+	0xa6, 0x01, 0xfe, 0x03, 0x9a, 0x2a, 0x89, 0x2c, 0x5e, 0xd0, 0x6a, 0xae, 0x8a, 0x77, 0x89, 0xb2,
+	0x55, 0x2b, 0x58, 0x6a, 0x0b, 0x57, 0xf6, 0xa6, 0x15, 0xee, 0xb6, 0x15, 0x7b, 0x24, 0xbd, 0xf7,
+	0x48, 0xf6, 0xa1, 0x5d, 0x51, 0x9e, 0x5d, 0x17, 0x34, 0x55, 0x75, 0xb5, 0xc9, 0x06, 0xe3, 0xaf,
+	0xc1, 0x27, 0x34, 0x61, 0x55, 0x2a, 0xb5, 0x3a, 0xa3, 0x6b, 0xab, 0xd5, 0x19, 0x5d, 0xcb, 0x72,
+	0x97, 0x71, 0xbe, 0xd0, 0xc9, 0x0f, 0x88, 0x06, 0xf8, 0x2f, 0x07, 0xba, 0xc7, 0x65, 0x49, 0x8b,
+	0xd4, 0x8e, 0xeb, 0x21, 0x34, 0x05, 0x2b, 0xb3, 0xc4, 0x4a, 0x58, 0x01, 0xa9, 0xb1, 0x4a, 0x45,
+	0xfe, 0x80, 0xc6, 0x74, 0x6a, 0x62, 0x1d, 0x51, 0x0f, 0x1a, 0xb1, 0x30, 0xd2, 0x6a, 0xc4, 0x2a,
+	0x32, 0x2d, 0x59, 0x72, 0x63, 0xda, 0xad, 0x81, 0xe4, 0xc3, 0x65, 0x6a, 0xc9, 0x55, 0xf7, 0x79,
+	0x83, 0xf1, 0x6b, 0xe8, 0x10, 0x1a, 0xdf, 0x53, 0x1a, 0x02, 0x6f, 0x5a, 0xb1, 0xb9, 0xe2, 0xe5,
+	0x12, 0x65, 0xa3, 0x47, 0xd0, 0x5a, 0xc5, 0x99, 0xd8, 0x4a, 0xdb, 0x97, 0xf0, 0x15, 0x97, 0x37,
+	0x36, 0xa2, 0x2b, 0xca, 0xc5, 0x07, 0x63, 0xe2, 0xbf, 0x1d, 0xe8, 0x9e, 0xc4, 0x22, 0xb9, 0xd9,
+	0x68, 0xf1, 0x39, 0xb4, 0xd8, 0x42, 0x24, 0xcc, 0x08, 0xb9, 0x37, 0xfc, 0xac, 0x46, 0x5d, 0xda,
+	0x81, 0x58, 0xcf, 0xff, 0xd5, 0x35, 0xa9, 0x11, 0xfa, 0xbb, 0xed, 0x9b, 0xb2, 0xe5, 0x34, 0x69,
+	0x91, 0x9a, 0xbe, 0x49, 0x13, 0x8f, 0xa0, 0x1b, 0x31, 0x91, 0x4d, 0xd7, 0x96, 0xc7, 0x4e, 0x2a,
+	0xe7, 0x3f, 0xa6, 0xc2, 0x01, 0xf4, 0x6c, 0x10, 0xcd, 0x12, 0xbf, 0x83, 0x9e, 0x55, 0xc3, 0xc7,
+	0xf0, 0x36, 0xf5, 0x36, 0x36, 0xf5, 0x7e, 0x99, 0x40, 0xcb, 0x78, 0xa1, 0x0e, 0xb4, 0xde, 0x46,
+	0xe7, 0xd1, 0xe4, 0x5d, 0x14, 0x7c, 0x82, 0xda, 0xe0, 0x9d, 0x4e, 0xa2, 0x71, 0xe0, 0xa0, 0x03,
+	0x68, 0x47, 0x93, 0x8b, 0x4b, 0x85, 0x1a, 0x08, 0xc0, 0x3f, 0x1b, 0x47, 0xa3, 0xf1, 0x69, 0xe0,
+	0xca, 0x9d, 0xd1, 0x24, 0x3a, 0xfb, 0xe1, 0xe5, 0xe8, 0x22, 0xf0, 0x24, 0x7a, 0x33, 0xfe, 0xf1,
+	0xad, 0xdc, 0x0c, 0x9a, 0x32, 0xd8, 0xf8, 0xe7, 0xd7, 0x2f, 0xc9, 0xf8, 0x34, 0xf0, 0x87, 0x7f,
+	0x7a, 0xe0, 0x8d, 0xe4, 0x4f, 0xe2, 0x05, 0x34, 0xd5, 0x7f, 0x19, 0x7d, 0x71, 0xbb, 0xd8, 0xdd,
+	0x5f, 0x7a, 0xff, 0xc9, 0x9d, 0xfb, 0x86, 0xfe, 0x09, 0xb8, 0xc7, 0x7c, 0x86, 0x3e, 0xbf, 0xed,
+	0xb7, 0xfd, 0xa3, 0xf7, 0x1f, 0xdf, 0xb1, 0x6b, 0x62, 0x9c, 0x83, 0xaf, 0x9b, 0x8a, 0x6a, 0xd2,
+	0xed, 0x5d, 0xbe, 0xfe, 0xe0, 0x6e, 0x07, 0x13, 0xec, 0x0c, 0x3c, 0x79, 0x25, 0xd0, 0xe3, 0xba,
+	0xf1, 0x6e, 0xae, 0x4a, 0x1d, 0xb1, 0x7d, 0x3d, 0x7f, 0x0f, 0xbe, 0xbe, 0x08, 0x75, 0x45, 0xed,
+	0x5d, 0x91, 0xfb, 0x63, 0x9d, 0x83, 0xaf, 0x75, 0x54, 0x1b, 0x6b, 0x57, 0xa6, 0x75, 0x04, 0xf7,
+	0x25, 0x28, 0x67, 0xa7, 0x5e, 0x81, 0xba, 0xd9, 0xed, 0xbe, 0x2b, 0x75, 0x65, 0xed, 0x3d, 0x1f,
+	0x27, 0xf8, 0x97, 0xc1, 0x8e, 0xc7, 0xb3, 0xac, 0x10, 0xb4, 0x2a, 0xe2, 0xfc, 0x99, 0x74, 0x55,
+	0x9f, 0xf2, 0xea, 0xca, 0x57, 0x8f, 0xff, 0xf3, 0x7f, 0x03, 0x00, 0x00, 0xff, 0xff, 0x84, 0x61,
+	0xf8, 0xda, 0x0a, 0x08, 0x00, 0x00,
 }
--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -78,6 +78,8 @@
 	Well bool
 	// Offset is where the topic ended after its last beat.
 	Offset int64
+	// Age is how long ago the owner answered.
+	Age time.Duration
 	// Failing is true if the owner answered lately and the store does not accept
 	// its beats.
 	Failing bool
@@ -179,10 +181,17 @@
 		e.next = max(e.next, heard.Offset)
 		return e.rest(ctx, watchEvery)
 	}
-	wait := ClaimAfter + e.opts.Delay + latencyFactor*e.opts.Latency()
-	if heard.Failing {
-		wait -= ClaimAfter / 2
+	silent := ClaimAfter
+	switch {
+	case heard.Failing:
+		// The owner says itself that its beats fail.
+		silent = BeatEvery
+	case heard.Offset > 0 && heard.Offset >= e.next:
+		// No beat was seen since the owner answered last.
+		e.next = heard.Offset
+		silent = max(ClaimAfter-heard.Age, BeatEvery)
 	}
+	wait := silent + e.opts.Delay + latencyFactor*e.opts.Latency()
 	if e.last.Resigned {
 		wait = e.opts.Delay
 	}
--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -57,23 +57,14 @@
 	done    chan error
 }
 
-// relayFunc appends records through the owner. It fails with errNoRelay if the
-// owner cannot be asked.
-type relayFunc func(ctx context.Context, records []cell.KeyValue) error
-
-// errNoRelay means that nothing was sent to the owner.
-var errNoRelay = errors.New("no owner can be asked to append")
-
 // errStoreDown is the cause of submissions that were not sent.
 var errStoreDown = errors.New("the store does not answer this VM")
 
 // committer appends records to topic jobs, one batch at a time. While a batch
 // is without an answer no other is sent, so that the records that wait can be
-// answered as not run. If the store does not answer this VM, the owner appends
-// for it; repetitions are harmless, since the records are the same.
+// answered as not run. Repetitions are harmless, since the records are the same.
 type committer struct {
 	store    cell.Store
-	relay    relayFunc
 	log      hclog.Logger
 	patience patience
 	queue    chan submission
@@ -83,8 +74,8 @@
 	readAt func() time.Duration
 }
 
-func newCommitter(store cell.Store, log hclog.Logger, relay relayFunc, readAt func() time.Duration) *committer {
-	return &committer{store: store, relay: relay, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
+func newCommitter(store cell.Store, log hclog.Logger, readAt func() time.Duration) *committer {
+	return &committer{store: store, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
 }
 
 // down reports whether the store counts as down. A read that succeeded since
@@ -98,7 +89,7 @@
 // appended; any other error leaves it open.
 func (c *committer) append(ctx context.Context, records []cell.KeyValue) error {
 	if c.down() {
-		return c.appendByRelay(ctx, records)
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
 	}
 	s := submission{ctx: ctx, records: records, done: make(chan error, 1)}
 	select {
@@ -109,15 +100,6 @@
 	return <-s.done
 }
 
-// appendByRelay appends through the owner alone.
-func (c *committer) appendByRelay(ctx context.Context, records []cell.KeyValue) error {
-	err := c.relay(ctx, records)
-	if errors.Is(err, errNoRelay) || errors.Is(err, cell.ErrNotDone) {
-		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
-	}
-	return err
-}
-
 // run appends batches until the context ends.
 func (c *committer) run(ctx context.Context) {
 	for {
@@ -144,8 +126,7 @@
 	return batch
 }
 
-// commit appends a batch, by turns itself and through the owner, until one is
-// answered or no caller waits.
+// commit appends a batch, again until it is answered or no caller waits.
 func (c *committer) commit(ctx context.Context, batch []submission) {
 	began := boot()
 	unknown := false
@@ -158,13 +139,13 @@
 		refused := errors.Is(err, cell.ErrNotDone)
 		if refused && !unknown {
 			c.markDown(err)
-			c.passOn(ctx, batch)
+			answer(batch, &cell.NotRunError{After: cell.ReturnSoon, Cause: err})
 			return
 		}
 		unknown = unknown || !refused
 		if boot()-began > downAfter {
 			c.markDown(err)
-			c.passWaitingOn(ctx)
+			c.refuseWaiting()
 		}
 		batch = waitingOf(batch, err)
 		if len(batch) == 0 {
@@ -178,43 +159,19 @@
 	}
 }
 
-// once tries to append a batch: by the store, and if that fails by the owner.
+// once tries to append a batch.
 func (c *committer) once(ctx context.Context, batch []submission, try int) error {
-	records := recordsOf(batch)
+	ctx, cancel := context.WithTimeout(ctx, c.patience.try(try))
+	defer cancel()
 	began := boot()
-	err := c.appendOnce(ctx, records, c.patience.try(try))
+	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: recordsOf(batch), At: -1})
 	if err == nil {
 		c.patience.succeeded(boot() - began)
 		c.downSince.Store(0)
-		return nil
 	}
-	if errors.Is(err, cell.ErrNotDone) {
-		return err
-	}
-	relayed := c.relay(ctx, records)
-	if relayed == nil {
-		return nil
-	}
-	// The own append is still unknown, whatever the owner says.
 	return err
 }
 
-func (c *committer) appendOnce(ctx context.Context, records []cell.KeyValue, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
-	return err
-}
-
-// passOn has records that were not sent appended through the owner.
-func (c *committer) passOn(ctx context.Context, batch []submission) {
-	go func() {
-		for _, s := range batch {
-			s.done <- c.appendByRelay(ctx, s.records)
-		}
-	}()
-}
-
 func recordsOf(batch []submission) []cell.KeyValue {
 	var records []cell.KeyValue
 	for _, s := range batch {
@@ -231,15 +188,13 @@
 	c.downSince.Store(int64(boot()))
 }
 
-// passWaitingOn passes on the records that were not sent.
-func (c *committer) passWaitingOn(ctx context.Context) {
-	var waiting []submission
+// refuseWaiting answers the records that were not sent.
+func (c *committer) refuseWaiting() {
 	for {
 		select {
 		case s := <-c.queue:
-			waiting = append(waiting, s)
+			s.done <- &cell.NotRunError{After: cell.ReturnSoon, Cause: errStoreDown}
 		default:
-			c.passOn(ctx, waiting)
 			return
 		}
 	}
--- a/internal/cell/node/committer_test.go
+++ b/internal/cell/node/committer_test.go
@@ -18,8 +18,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	noRelay := func(context.Context, []cell.KeyValue) error { return errNoRelay }
-	c := newCommitter(store, hclog.NewNullLogger(), noRelay, func() time.Duration { return 0 })
+	c := newCommitter(store, hclog.NewNullLogger(), func() time.Duration { return 0 })
 	go c.run(ctx)
 	return c
 }
@@ -116,19 +115,3 @@
 	p.succeeded(200 * time.Millisecond)
 	is.Equal(p.try(0), latencyFactor*200*time.Millisecond)
 }
-
-// TestOwnerAppendsForVMThatStoreDoesNotAnswer guards submissions at a VM that
-// alone has lost the store, also those that were sent without an answer.
-func TestOwnerAppendsForVMThatStoreDoesNotAnswer(t *testing.T) {
-	is := is.New(t)
-	store := &cellstore.Store{}
-	store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Silent })
-	c := startCommitter(t, store)
-	var relayed atomic.Int64
-	c.relay = func(context.Context, []cell.KeyValue) error {
-		relayed.Add(1)
-		return nil
-	}
-	is.NoErr(c.append(context.Background(), record("a")))
-	is.Equal(relayed.Load(), int64(1))
-}
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// relayTimeout bounds an append through the owner.
-	relayTimeout = 500 * time.Millisecond
 	// notifyTimeout bounds telling the owner of a record.
 	notifyTimeout = 300 * time.Millisecond
 	// answerMargin is kept of a caller's deadline for the answer to arrive.
@@ -110,28 +108,6 @@
 	}
 }
 
-// relay has the owner append records.
-func (n *Node) relay(ctx context.Context, records []cell.KeyValue) error {
-	p := n.ownerAnswers()
-	if p == nil || n.owning() != nil {
-		return errNoRelay
-	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	resp, err := p.Append(ctx, &cellpb.AppendRequest{Records: toWire(records)})
-	switch {
-	case err != nil:
-		return eris.Wrap(err, "append through the owner")
-	case resp.Outcome == cellpb.AppendResponse_DONE:
-		n.count("relay", "done")
-		return nil
-	case resp.Outcome == cellpb.AppendResponse_NOT_DONE:
-		return eris.Wrap(cell.ErrNotDone, "append through the owner")
-	default:
-		return eris.New("the owner does not know whether the append was executed")
-	}
-}
-
 // State returns a job's state. The owner knows it first.
 func (n *Node) State(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
 	state, known := n.mirror.state(id)
--- a/internal/cell/node/greet.go
+++ b/internal/cell/node/greet.go
@@ -18,9 +18,9 @@
 
 const (
 	// greetEvery is how often a VM greets the owner.
-	greetEvery = 300 * time.Millisecond
+	greetEvery = 250 * time.Millisecond
 	// greetTimeout bounds a greeting.
-	greetTimeout = 250 * time.Millisecond
+	greetTimeout = 200 * time.Millisecond
 	// heardFresh is how long an answer of the owner counts: one greeting may be
 	// lost.
 	heardFresh = 2*greetEvery + 50*time.Millisecond
@@ -33,6 +33,8 @@
 	at     time.Duration
 	well   bool
 	offset int64
+	// silent is set when a later greeting was not answered.
+	silent bool
 }
 
 // ownerPeer returns the client of the owner, or nil if there is none or it is
@@ -48,19 +50,30 @@
 // ownerAnswers returns the client of an owner that answered lately.
 func (n *Node) ownerAnswers() cellpb.Cell {
 	h := n.heard.Load()
-	if h == nil || boot()-h.at > heardFresh {
+	if h == nil || h.silent || boot()-h.at > heardFresh {
 		return nil
 	}
 	return n.ownerPeer()
 }
 
+// unheard returns the last answer as one that counts no more.
+func (n *Node) unheard() *heardOwner {
+	h := n.heard.Load()
+	if h == nil {
+		return nil
+	}
+	return &heardOwner{at: h.at, offset: h.offset, silent: true}
+}
+
 // alive tells the election what the owner said of itself.
 func (n *Node) alive() election.Heard {
 	h := n.heard.Load()
-	if h == nil || boot()-h.at > heardFresh {
+	if h == nil {
 		return election.Heard{}
 	}
-	return election.Heard{Well: h.well, Failing: !h.well, Offset: h.offset}
+	age := boot() - h.at
+	fresh := age <= heardFresh && !h.silent
+	return election.Heard{Well: h.well && fresh, Failing: !h.well && fresh, Offset: h.offset, Age: age}
 }
 
 // meet remembers a VM.
@@ -73,6 +86,19 @@
 	n.met = append(n.met, addr)
 }
 
+// peersForStore returns clients of the VMs through which the store may be
+// called, the owner first.
+func (n *Node) peersForStore() []cellpb.Cell {
+	var out []cellpb.Cell
+	if p := n.ownerAnswers(); p != nil {
+		out = append(out, p)
+	}
+	for _, addr := range n.known() {
+		out = append(out, n.peer(addr))
+	}
+	return out
+}
+
 // known returns the VMs that were met.
 func (n *Node) known() []string {
 	n.mu.Lock()
@@ -99,6 +125,7 @@
 	}
 	resp, err := n.hello(ctx, p)
 	if err != nil {
+		n.heard.CompareAndSwap(n.heard.Load(), n.unheard())
 		if refused(err) {
 			n.election.Suspect(r.Instance)
 		}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -55,7 +55,9 @@
 // Node is one entry VM.
 type Node struct {
 	settings Settings
+	// store is reached by path.
 	store    cell.Store
+	path     *storePath
 	workers  cell.Workers
 	advisor  cell.Advisor
 	decoder  Decoder
@@ -99,7 +101,6 @@
 func New(settings Settings, ports Ports, out io.Writer) *Node {
 	n := &Node{
 		settings: settings,
-		store:    ports.Store,
 		workers:  ports.Workers,
 		advisor:  ports.Advisor,
 		decoder:  ports.Decoder,
@@ -109,12 +110,16 @@
 		peers:    map[string]cellpb.Cell{},
 		http:     peerTransport(),
 	}
+	n.path = &storePath{direct: ports.Store, peers: n.peersForStore, log: func(message string, details ...any) {
+		n.log.Warn(message, details...)
+	}}
+	n.store = n.path
 	n.ownCtx, n.stopOwning = context.WithCancel(context.Background())
 	n.metrics = newMetrics(func() float64 { return float64(n.mirror.size()) })
 	n.jobs = n.newTail(cell.TopicJobs, n.readJobs)
 	n.progress = n.newTail(cell.TopicProgress, n.takeProgress)
 	n.configs = n.newTail(cell.TopicConfig, n.takeConfigs)
-	n.committer = newCommitter(n.store, n.log, n.relay, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
+	n.committer = newCommitter(n.store, n.log, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
 	n.election = election.New(n.store, election.Options{
 		Node:     settings.Name,
 		Addr:     settings.Peers,
@@ -138,9 +143,9 @@
 
 const (
 	// claimSpread is the longest delay of a claim, for the smallest VM.
-	claimSpread = 400 * time.Millisecond
+	claimSpread = 200 * time.Millisecond
 	// claimJitter separates VMs of one size.
-	claimJitter = 150 * time.Millisecond
+	claimJitter = 100 * time.Millisecond
 )
 
 // claimDelay lets VMs with more processor claim first.
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -48,21 +47,17 @@
 
 // Append implements cellpb.Cell.
 func (s *rpcServer) Append(ctx context.Context, req *cellpb.AppendRequest) (*cellpb.AppendResponse, error) {
-	records := fromWire(req.Records)
-	if s.node.owning() == nil {
-		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_NOT_DONE}, nil
-	}
-	err := s.node.committer.append(ctx, records)
-	var notRun *cell.NotRunError
-	switch {
-	case err == nil:
-		s.node.takeJobs(records)
-		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_DONE}, nil
-	case errors.As(err, &notRun):
-		return &cellpb.AppendResponse{Outcome: cellpb.AppendResponse_NOT_DONE}, nil
-	default:
-		return &cellpb.AppendResponse{}, nil
-	}
+	return s.node.path.serveAppend(ctx, req), nil
+}
+
+// Read implements cellpb.Cell.
+func (s *rpcServer) Read(ctx context.Context, req *cellpb.ReadRequest) (*cellpb.BatchResponse, error) {
+	return s.node.path.serveRead(ctx, req), nil
+}
+
+// Newest implements cellpb.Cell.
+func (s *rpcServer) Newest(ctx context.Context, req *cellpb.NewestRequest) (*cellpb.BatchResponse, error) {
+	return s.node.path.serveNewest(ctx, req), nil
 }
 
 // Notify implements cellpb.Cell.
--- /dev/null
+++ b/internal/cell/node/storepath_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/standin/cellstore"
+)
+
+// pathPeer serves the store's calls of a VM whose own way works.
+type pathPeer struct {
+	cellpb.Cell
+	path *storePath
+}
+
+func (p *pathPeer) Append(ctx context.Context, req *cellpb.AppendRequest) (*cellpb.AppendResponse, error) {
+	return p.path.serveAppend(ctx, req), nil
+}
+
+func (p *pathPeer) Read(ctx context.Context, req *cellpb.ReadRequest) (*cellpb.BatchResponse, error) {
+	return p.path.serveRead(ctx, req), nil
+}
+
+func (p *pathPeer) Newest(ctx context.Context, req *cellpb.NewestRequest) (*cellpb.BatchResponse, error) {
+	return p.path.serveNewest(ctx, req), nil
+}
+
+// cutStore is the store of a VM that it does not answer.
+type cutStore struct{ cell.Store }
+
+func (cutStore) Append(ctx context.Context, _ cell.Append) (int64, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (cutStore) Newest(ctx context.Context, _ cell.Topic) (cell.Batch, error) {
+	<-ctx.Done()
+	return cell.Batch{}, ctx.Err()
+}
+
+func newPath(direct cell.Store, peers ...cellpb.Cell) *storePath {
+	return &storePath{direct: direct, peers: func() []cellpb.Cell { return peers }, log: func(string, ...any) {}}
+}
+
+func short(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestStoreIsReachedThroughAnotherVM guards the work of a VM that alone has lost
+// the store: conditions and fences hold there as they do directly.
+func TestStoreIsReachedThroughAnotherVM(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	p := newPath(cutStore{store}, &pathPeer{path: newPath(store)})
+	_, err := p.Append(short(t), cell.Append{Topic: cell.TopicOwner, At: -1, Records: record("a")})
+	is.True(err != nil) // the direct try, which tells that the way is bad
+	is.True(p.bad())
+	ctx := context.Background()
+	end, err := p.Append(ctx, cell.Append{Topic: cell.TopicOwner, At: 0, Records: record("a")})
+	is.NoErr(err)
+	is.Equal(end, int64(1))
+	_, err = p.Append(ctx, cell.Append{Topic: cell.TopicOwner, At: 0, Records: record("b")})
+	var conflict *cell.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.End, int64(1))
+	_, err = p.Append(ctx, cell.Append{Topic: cell.TopicProgress, At: -1, Epoch: 3, Records: record("a")})
+	is.NoErr(err)
+	_, err = p.Append(ctx, cell.Append{Topic: cell.TopicProgress, At: -1, Epoch: 2, Records: record("a")})
+	is.True(errors.Is(err, cell.ErrFenced))
+	batch, err := p.Read(ctx, cell.TopicOwner, 0, 0)
+	is.NoErr(err)
+	is.Equal(len(batch.Records), 1)
+	store.Forget(cell.TopicOwner)
+	_, err = p.Read(ctx, cell.TopicOwner, 0, 0)
+	is.True(errors.Is(err, cell.ErrExpired))
+}
+
+// TestNobodyReachesTheStore guards the answer "not done" in an outage for all:
+// VMs do not send each other's calls around.
+func TestNobodyReachesTheStore(t *testing.T) {
+	is := is.New(t)
+	other := newPath(cutStore{})
+	other.badSince.Store(1)
+	p := newPath(cutStore{}, &pathPeer{path: other})
+	p.badSince.Store(1)
+	_, err := p.Append(context.Background(), cell.Append{Topic: cell.TopicJobs, At: -1, Records: record("a")})
+	is.True(errors.Is(err, cell.ErrNotDone))
+}
+
+// TestStoreIsReachedDirectlyAgain guards the way back after an outage.
+func TestStoreIsReachedDirectlyAgain(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	p := newPath(store)
+	p.badSince.Store(1)
+	p.probe()
+	for p.bad() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := p.Append(context.Background(), cell.Append{Topic: cell.TopicJobs, At: -1, Records: record("a")})
+	is.NoErr(err)
+}
