Hedge calls to the store; drop submissions of ended jobs; close stopped runs

Changes: a call goes to the store and, after 80 ms or three latencies, also through another VM; the direct way is bad only if that one answers first. The first answer to a stop counts. Incomplete gangs are stopped at a takeover. Submissions of ended jobs are dropped each second. The machine's order of work no longer depends on map order, so that a seed repeats.

--- a/internal/cell/node/collect.go
+++ b/internal/cell/node/collect.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// dropEvery is how often the submissions of ended jobs are dropped, so that a
+	// VM that starts has little to read.
+	dropEvery = time.Second
+	// dropMost bounds the jobs of one drop.
+	dropMost = 400
 	// collectEvery is how often ended jobs are dropped from the store.
 	collectEvery = 10 * time.Second
 	// collectMost bounds the jobs that are dropped at once.
@@ -33,25 +38,54 @@
 	}
 }
 
-// drop writes empty values, which drop the keys. Progress goes last, so that an
-// interrupted drop never leaves a job without its end.
+// dropResult is the result of dropping submissions: the jobs to drop again.
+type dropResult struct{ again []cell.JobID }
+
+// dropOver drops the submissions of ended jobs; their states are kept.
+func (c *control) dropOver(ctx context.Context) {
+	if c.dropping || len(c.over) == 0 || boot()-c.lastDrop < dropEvery {
+		return
+	}
+	c.dropping = true
+	c.lastDrop = boot()
+	ids := c.over[:min(len(c.over), dropMost)]
+	c.over = c.over[len(ids):]
+	go func() {
+		var again []cell.JobID
+		if err := c.node.dropJobs(ctx, ids); err != nil {
+			again = ids
+		}
+		c.dropped <- dropResult{again}
+	}()
+}
+
+// dropJobs drops submissions and cancellings; a job that was never cancelled
+// has no key to drop, which changes nothing.
+func (n *Node) dropJobs(ctx context.Context, ids []cell.JobID) error {
+	var records []cell.KeyValue
+	for _, id := range ids {
+		records = append(records, cell.KeyValue{Key: cell.JobKey(id)})
+		if n.mirror.cancelled(id) {
+			records = append(records, cell.KeyValue{Key: cell.CancelKey(id)})
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := n.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
+	return err
+}
+
+// drop drops the states of jobs that ended long ago.
 func (n *Node) drop(ctx context.Context, ids []cell.JobID) {
-	var jobs, progress []cell.KeyValue
+	var records []cell.KeyValue
 	for _, id := range ids {
-		jobs = append(jobs, cell.KeyValue{Key: cell.JobKey(id)}, cell.KeyValue{Key: cell.CancelKey(id)})
-		progress = append(progress, cell.KeyValue{Key: cell.ProgressKey(id)})
+		records = append(records, cell.KeyValue{Key: cell.ProgressKey(id)})
 	}
-	for _, a := range []cell.Append{
-		{Topic: cell.TopicJobs, Records: jobs, At: -1},
-		{Topic: cell.TopicProgress, Records: progress, At: -1},
-	} {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := n.store.Append(callCtx, a)
-		cancel()
-		if err != nil {
-			n.log.Warn("ended jobs are not dropped yet", "jobs", len(ids), "error", err.Error())
-			return
-		}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := n.store.Append(ctx, cell.Append{Topic: cell.TopicProgress, Records: records, At: -1}); err != nil {
+		n.log.Warn("ended jobs are not dropped yet", "jobs", len(ids), "error", err.Error())
+		return
 	}
 	for _, id := range ids {
 		n.mirror.apply(cell.Record{Job: id, Kind: cell.RecordProgress})
--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -13,43 +13,20 @@
 )
 
 const (
-	// firstTry bounds the first try of an append; an answer takes 4 to 10 ms. An
-	// answer that is lost costs this long.
-	firstTry = 90 * time.Millisecond
-	// lastTry bounds later tries. The slowest store seen answers after 0.35 s.
-	lastTry = 800 * time.Millisecond
-	// tryFactor lengthens each try.
-	tryFactor = 3
-	// latencyFactor times the last answer's latency is the least first try.
-	latencyFactor = 3
+	// appendTry bounds one try of an append. The slowest store seen answers after
+	// 0.35 s; calls that go unanswered are made through other VMs sooner.
+	appendTry = 900 * time.Millisecond
 	// tryPause is the pause between tries.
 	tryPause = 20 * time.Millisecond
-	// downAfter is how long an append may be tried before the store counts as
-	// down for this VM: the first two tries.
-	downAfter = 250 * time.Millisecond
+	// downAfter is how long an append may go unanswered before the store counts as
+	// down for this VM and new submissions are not sent.
+	downAfter = 500 * time.Millisecond
 	// commitBatch bounds the records of one append.
 	commitBatch = 64
 	// commitQueue bounds the records that wait.
 	commitQueue = 512
 )
 
-// patience is how long the tries of a call to the store last. It grows with the
-// latency that was seen last.
-type patience struct{ latency atomic.Int64 }
-
-// try returns the bound of a try, numbered from 0.
-func (p *patience) try(n int) time.Duration {
-	d := max(firstTry, latencyFactor*time.Duration(p.latency.Load()))
-	for range n {
-		d *= tryFactor
-	}
-	return min(d, lastTry)
-}
-
-func (p *patience) succeeded(took time.Duration) {
-	p.latency.Store(int64(took))
-}
-
 // submission are records that wait to be appended to topic jobs.
 type submission struct {
 	ctx     context.Context
@@ -64,10 +41,9 @@
 // is without an answer no other is sent, so that the records that wait can be
 // answered as not run. Repetitions are harmless, since the records are the same.
 type committer struct {
-	store    cell.Store
-	log      hclog.Logger
-	patience patience
-	queue    chan submission
+	store cell.Store
+	log   hclog.Logger
+	queue chan submission
 	// downSince is when the store was found down, in boot time; 0 if it is not.
 	downSince atomic.Int64
 	// readAt tells when the store was last read.
@@ -128,10 +104,15 @@
 
 // commit appends a batch, again until it is answered or no caller waits.
 func (c *committer) commit(ctx context.Context, batch []submission) {
-	began := boot()
+	// The store counts as down as soon as the batch has waited for long.
+	timer := time.AfterFunc(downAfter, func() {
+		c.markDown(errStoreDown)
+		c.refuseWaiting()
+	})
+	defer timer.Stop()
 	unknown := false
-	for try := 0; ; try++ {
-		err := c.once(ctx, batch, try)
+	for {
+		err := c.once(ctx, batch)
 		if err == nil {
 			answer(batch, nil)
 			return
@@ -143,10 +124,6 @@
 			return
 		}
 		unknown = unknown || !refused
-		if boot()-began > downAfter {
-			c.markDown(err)
-			c.refuseWaiting()
-		}
 		batch = waitingOf(batch, err)
 		if len(batch) == 0 {
 			return
@@ -160,13 +137,11 @@
 }
 
 // once tries to append a batch.
-func (c *committer) once(ctx context.Context, batch []submission, try int) error {
-	ctx, cancel := context.WithTimeout(ctx, c.patience.try(try))
+func (c *committer) once(ctx context.Context, batch []submission) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTry)
 	defer cancel()
-	began := boot()
 	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: recordsOf(batch), At: -1})
 	if err == nil {
-		c.patience.succeeded(boot() - began)
 		c.downSince.Store(0)
 	}
 	return err
--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -70,7 +70,12 @@
 	lastPlace time.Duration
 	poorSince time.Duration
 	budgets   map[string]*budget
-	resign    string
+	// over are ended jobs whose submissions are to be dropped from the store.
+	over     []cell.JobID
+	dropping bool
+	lastDrop time.Duration
+	dropped  chan dropResult
+	resign   string
 }
 
 // outcome is the result of writing a batch.
@@ -92,6 +97,7 @@
 		hellos:  make(chan greeting, 64),
 		stored:  make(chan outcome, 1),
 		ended:   make(chan struct{}),
+		dropped: make(chan dropResult, 1),
 		budgets: map[string]*budget{},
 		machine: owner.New(owner.Options{
 			Term:        term,
@@ -148,11 +154,15 @@
 			}
 			c.apply(ctx, owner.StoreReached{})
 			c.apply(ctx, owner.Recorded{Batch: o.batch})
+		case d := <-c.dropped:
+			c.dropping = false
+			c.over = append(c.over, d.again...)
 		case g := <-c.hellos:
 			c.lanes.hello(g.addr, g.client, boot())
 		case <-ticker.C:
 			c.apply(ctx, owner.Tick{})
 			c.checkReach()
+			c.dropOver(ctx)
 		case <-timer.C:
 		}
 		if c.resign != "" {
@@ -212,6 +222,8 @@
 			c.lanes.add(a)
 		case owner.Publish:
 			c.node.mirror.publish(a.Job, a.State)
+		case owner.Over:
+			c.over = append(c.over, a.Job)
 		case owner.Resign:
 			c.resign = a.Reason
 		case owner.Decide:
@@ -284,10 +296,8 @@
 // repetition harmless.
 func (c *control) write(ctx context.Context, records []cell.KeyValue, number int, sequence int64) {
 	for try := 0; ctx.Err() == nil; try++ {
-		began := boot()
-		err := c.appendOnce(ctx, records, sequence, c.node.progressPatience.try(try))
+		err := c.appendOnce(ctx, records, sequence, appendTry)
 		if err == nil {
-			c.node.progressPatience.succeeded(boot() - began)
 			c.stored <- outcome{batch: number}
 			return
 		}
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -20,7 +20,7 @@
 	askOwnerTimeout = 300 * time.Millisecond
 	// unreadLimit is how long this VM may not have read the store before it asks
 	// to be taken out of rotation.
-	unreadLimit = 1800 * time.Millisecond
+	unreadLimit = 1500 * time.Millisecond
 )
 
 // Config returns the configuration in force, or nil.
@@ -36,9 +36,12 @@
 	if !n.jobs.loaded.Load() || !n.progress.loaded.Load() {
 		return false
 	}
-	if n.owning() != nil || n.ownerAnswers() != nil {
+	if n.ownerAnswers() != nil {
 		return true
 	}
+	if n.committer.down() {
+		return false
+	}
 	return boot()-time.Duration(n.jobs.readAt.Load()) < unreadLimit
 }
 
@@ -61,7 +64,7 @@
 	kv := cell.KeyValue{Key: cell.JobKey(job.ID), Value: value}
 	if err := n.appendJobs(ctx, kv); err != nil {
 		n.count("submit", outcomeOf(err))
-		n.log.Info("job is not accepted", "id", string(job.ID), "queue", job.Queue.Name, "outcome", outcomeOf(err), "error", err.Error())
+		n.logRefusal(job, err)
 		return err
 	}
 	n.count("submit", "accepted")
@@ -69,6 +72,17 @@
 	return nil
 }
 
+// logRefusal logs within a budget, since an outage refuses every submission.
+func (n *Node) logRefusal(job *cell.Job, err error) {
+	n.mu.Lock()
+	write, dropped := n.refusals.spend(time.Now())
+	n.mu.Unlock()
+	if write {
+		n.log.Info("job is not accepted", "id", string(job.ID), "queue", job.Queue.Name,
+			"outcome", outcomeOf(err), "dropped_before", dropped, "error", err.Error())
+	}
+}
+
 func outcomeOf(err error) string {
 	var notRun *cell.NotRunError
 	if errors.As(err, &notRun) {
--- a/internal/cell/node/greet.go
+++ b/internal/cell/node/greet.go
@@ -205,7 +205,7 @@
 // beatsAccepted reports whether the store accepted a beat of this owner lately.
 func (n *Node) beatsAccepted() bool {
 	age := boot() - time.Duration(n.beatAt.Load())
-	return age < election.ClaimAfter+latencyAllowance*time.Duration(n.jobs.latency.Load())
+	return age < election.ClaimAfter+latencyAllowance*n.path.lastLatency()
 }
 
 // latencyAllowance times the store's latency may pass between two beats more.
--- a/internal/cell/node/logging.go
+++ b/internal/cell/node/logging.go
@@ -13,7 +13,7 @@
 	logQueue = 1024
 	// logBudget is the number of lines a second of one kind; a busy owner makes
 	// about 100.
-	logBudget = 150
+	logBudget = 120
 )
 
 // asyncWriter passes lines on without blocking the writer. Lines that find the
--- a/internal/cell/node/mirror.go
+++ b/internal/cell/node/mirror.go
@@ -20,6 +20,8 @@
 type entry struct {
 	queue     string
 	submitted bool
+	// stored is true while the submission is in the store.
+	stored    bool
 	cancelled bool
 	state     cell.State
 	// job and progress are the encoded records, progress with its first byte.
@@ -47,8 +49,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(r.Value) == 0 {
-		delete(m.jobs, r.Job)
-		delete(m.live, r.Job)
+		m.drop(r)
 		return change{record: r}
 	}
 	e, ok := m.jobs[r.Job]
@@ -70,15 +71,45 @@
 	}
 }
 
+// drop takes the drop of a key over. The state of a job outlives its submission.
+func (m *mirror) drop(r cell.Record) {
+	if r.Kind == cell.RecordProgress {
+		delete(m.jobs, r.Job)
+		delete(m.live, r.Job)
+		return
+	}
+	if e, ok := m.jobs[r.Job]; ok && r.Kind == cell.RecordJob {
+		e.stored = false
+		e.job = nil
+	}
+}
+
+// over returns the jobs that have ended without open runs and whose submissions
+// are still in the store.
+func (m *mirror) over() []cell.JobID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []cell.JobID
+	for id, e := range m.jobs {
+		if e.stored && e.state.Final() && !e.openRuns {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (e *entry) setJob(value []byte) bool {
+	e.stored = true
 	if e.submitted {
 		return false
 	}
 	e.submitted = true
-	e.queue = cell.RouteOf(value)
-	if !e.state.Final() || e.openRuns {
-		e.job = bytes.Clone(value)
+	if e.state.Final() && !e.openRuns {
+		// A submission that arrives again after the job's end.
+		return false
 	}
+	e.queue = cell.RouteOf(value)
+	e.job = bytes.Clone(value)
 	return true
 }
 
@@ -137,6 +168,14 @@
 	}
 }
 
+// cancelled reports whether a job's caller has cancelled it.
+func (m *mirror) cancelled(id cell.JobID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.jobs[id]
+	return ok && e.cancelled
+}
+
 // pending counts a queue's jobs of which no task has started.
 func (m *mirror) pending(queue string) int {
 	m.mu.Lock()
--- a/internal/cell/node/mirror_test.go
+++ b/internal/cell/node/mirror_test.go
@@ -78,3 +78,32 @@
 	m.apply(progressRecord(t, "a", cell.Progress{State: cell.StateCancelled}))
 	is.Equal(len(m.unfinishedJobs(func(cell.JobID, error) {})), 0)
 }
+
+// TestStateOutlivesSubmission guards the answer about an ended job whose
+// submission was dropped, and against its revival by a submission that arrives
+// again then.
+func TestStateOutlivesSubmission(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	job := jobRecord(t, "a", "q")
+	m.apply(job)
+	m.apply(progressRecord(t, "a", cell.Progress{State: cell.StateCompleted}))
+	is.Equal(m.over(), []cell.JobID{"a"})
+	m.apply(cell.Record{Job: "a", Kind: cell.RecordJob})
+	is.Equal(len(m.over()), 0)
+	state, known := m.state("a")
+	is.True(known)
+	is.Equal(state, cell.StateCompleted)
+	is.True(!m.apply(job).fresh)
+	is.Equal(len(m.unfinishedJobs(func(cell.JobID, error) {})), 0)
+}
+
+// TestSubmissionReadAfterItsEnd guards a VM that reads the progress before the
+// jobs: the ended job is not taken for a new one.
+func TestSubmissionReadAfterItsEnd(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	m.apply(progressRecord(t, "a", cell.Progress{State: cell.StateFailed}))
+	is.True(!m.apply(jobRecord(t, "a", "q")).fresh)
+	is.Equal(m.over(), []cell.JobID{"a"})
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -80,8 +80,6 @@
 	http    *http.Client
 
 	committer *committer
-	// progressPatience bounds the tries of appends of progress.
-	progressPatience patience
 	// heard is the owner's last answer to a greeting.
 	heard atomic.Pointer[heardOwner]
 	// beatAt is when the store accepted this owner's last beat, in boot time.
@@ -89,6 +87,8 @@
 	// unheardAt is when the owner last read a submission that it had not heard
 	// of, in boot time.
 	unheardAt atomic.Int64
+	// refusals bounds the lines about refused submissions, under mu.
+	refusals budget
 	// met holds the addresses of other VMs, under mu.
 	met      []string
 	draining atomic.Bool
@@ -127,7 +127,7 @@
 		Delay:    claimDelay(settings),
 		Now:      boot,
 		Alive:    n.alive,
-		Latency:  func() time.Duration { return time.Duration(n.jobs.latency.Load()) },
+		Latency:  n.path.lastLatency,
 		Seen:     n.ownerSeen,
 		Beaten:   n.beaten,
 		Log:      func(message string, details ...any) { n.log.Info(message, details...) },
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -137,6 +137,7 @@
 			c.loaded = append(c.loaded, c.machine.Apply(now(), owner.JobCancelled{Job: u.job.ID})...)
 		}
 	}
+	c.over = c.node.mirror.over()
 	c.log.Info("state is taken over", "term", c.term, "unfinished_jobs", len(jobs))
 }
 
--- a/internal/cell/node/storepath.go
+++ b/internal/cell/node/storepath.go
@@ -24,8 +24,15 @@
 	probeTimeout = 500 * time.Millisecond
 	// viaPeers bounds the VMs through which one call is tried.
 	viaPeers = 2
-	// viaSlack is added to the wait of a read through another VM.
-	viaSlack = 400 * time.Millisecond
+	// readSlack is added to the wait of a read.
+	readSlack = time.Second
+	// firstHedge is the least time after which a call is also made through
+	// another VM; an answer takes 4 to 10 ms.
+	firstHedge = 80 * time.Millisecond
+	// hedgeFactor times the store's latency must have passed.
+	hedgeFactor = 3
+	// newestExtra is what the reading of pages may take more.
+	newestExtra = 300 * time.Millisecond
 )
 
 // storePath is the way to the store, directly or through other VMs.
@@ -36,28 +43,16 @@
 	// badSince is when the direct way failed, in boot time; 0 while it works.
 	badSince atomic.Int64
 	probed   atomic.Int64
-	turn     atomic.Int64
+	// latency is that of the last direct answer.
+	latency atomic.Int64
+	turn    atomic.Int64
 }
 
 // bad reports whether the direct way does not work.
 func (p *storePath) bad() bool { return p.badSince.Load() != 0 }
 
-// note takes the result of a direct call over. A refusal of a condition is an
-// answer like any other.
-func (p *storePath) note(ctx context.Context, err error) {
-	if err == nil || isAnswer(err) {
-		if since := p.badSince.Swap(0); since != 0 {
-			p.log("store answers again", "after_ms", (boot() - time.Duration(since)).Milliseconds())
-		}
-		return
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return // the caller did not wait for the answer
-	}
-	if p.badSince.CompareAndSwap(0, int64(boot())) {
-		p.log("store does not answer", "error", err.Error())
-	}
-}
+// lastLatency returns the latency of the last direct answer.
+func (p *storePath) lastLatency() time.Duration { return time.Duration(p.latency.Load()) }
 
 // isAnswer reports whether an error is an answer of a store that works.
 func isAnswer(err error) bool {
@@ -76,14 +71,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		_, err := p.direct.Newest(ctx, cell.TopicOwner)
-		p.note(ctx, err)
+		began := boot()
+		if _, err := p.direct.Newest(ctx, cell.TopicOwner); err == nil {
+			p.learn(true, boot()-began)
+		}
 	}()
 }
 
 // via calls through other VMs until one of them has an answer of the store.
 func via[T any](p *storePath, call func(cellpb.Cell) (T, cellpb.Outcome, error)) (T, error) {
-	p.probe()
 	peers := p.peers()
 	err := eris.Wrap(cell.ErrNotDone, "no other VM can be asked")
 	var none T
@@ -106,48 +102,136 @@
 	return none, err
 }
 
+// hedgeAfter is how long a call waits for the store before it is also made
+// through another VM: longer while the store is slow for all.
+func (p *storePath) hedgeAfter() time.Duration {
+	return max(firstHedge, hedgeFactor*time.Duration(p.latency.Load()))
+}
+
+// result is the result of one way of a call.
+type result[T any] struct {
+	value  T
+	err    error
+	direct bool
+}
+
+// hedged calls the store directly and, if it does not answer soon, through
+// another VM, too. The first answer of the store counts. The direct way is bad
+// only if another VM had an answer first: else the store is slow or down.
+func hedged[T any](ctx context.Context, p *storePath, extra time.Duration, direct, viaPeer func(context.Context) (T, error)) (T, error) {
+	if p.bad() {
+		p.probe()
+		return viaPeer(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result[T], 2)
+	began := boot()
+	go func() {
+		v, err := direct(ctx)
+		results <- result[T]{v, err, true}
+	}()
+	timer := time.NewTimer(extra + p.hedgeAfter())
+	defer timer.Stop()
+	hedge := func() {
+		go func() {
+			v, err := viaPeer(ctx)
+			results <- result[T]{v, err, false}
+		}()
+	}
+	open, hedges := 1, 0
+	var unknown error
+	var last result[T]
+	for {
+		select {
+		case <-timer.C:
+			hedge()
+			open, hedges = open+1, 1
+			continue
+		case last = <-results:
+		}
+		open--
+		if last.err == nil || isAnswer(last.err) {
+			p.learn(last.direct, boot()-began-extra)
+			return last.value, last.err
+		}
+		if !errors.Is(last.err, cell.ErrNotDone) {
+			unknown = last.err
+		}
+		if last.direct && hedges == 0 {
+			// The store turned this VM away, or the way to it is broken.
+			timer.Stop()
+			hedge()
+			open, hedges = open+1, 1
+			continue
+		}
+		if open == 0 {
+			if unknown != nil {
+				return last.value, unknown
+			}
+			return last.value, last.err
+		}
+	}
+}
+
+// learn notes which way had the first answer.
+func (p *storePath) learn(direct bool, took time.Duration) {
+	if direct {
+		p.latency.Store(int64(max(took, 0)))
+		p.works()
+		return
+	}
+	if p.badSince.CompareAndSwap(0, int64(boot())) {
+		p.log("store answers other VMs only")
+	}
+}
+
+// works notes that the direct way works.
+func (p *storePath) works() {
+	if since := p.badSince.Swap(0); since != 0 {
+		p.log("store answers again", "after_ms", (boot() - time.Duration(since)).Milliseconds())
+	}
+}
+
 // Append implements cell.Store.
 func (p *storePath) Append(ctx context.Context, a cell.Append) (int64, error) {
-	if !p.bad() {
-		end, err := p.direct.Append(ctx, a)
-		p.note(ctx, err)
-		return end, err
-	}
 	req := &cellpb.AppendRequest{
 		Topic: string(a.Topic), Records: toWire(a.Records), At: a.At, Epoch: a.Epoch, Sequence: a.Sequence,
 	}
-	resp, err := via(p, func(peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
-		resp, err := peer.Append(ctx, req)
-		return resp, resp.GetOutcome(), err
+	return hedged(ctx, p, 0, func(ctx context.Context) (int64, error) {
+		return p.direct.Append(ctx, a)
+	}, func(ctx context.Context) (int64, error) {
+		resp, err := via(p, func(peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
+			resp, err := peer.Append(ctx, req)
+			return resp, resp.GetOutcome(), err
+		})
+		if err != nil {
+			return 0, err
+		}
+		return resp.End, outcomeError(resp.Outcome, resp.End)
 	})
-	if err != nil {
-		return 0, err
-	}
-	return resp.End, outcomeError(resp.Outcome, resp.End)
 }
 
 // Read implements cell.Store.
 func (p *storePath) Read(ctx context.Context, topic cell.Topic, from int64, wait time.Duration) (cell.Batch, error) {
-	if !p.bad() {
-		batch, err := p.direct.Read(ctx, topic, from, wait)
-		p.note(ctx, err)
-		return batch, err
-	}
-	req := &cellpb.ReadRequest{Topic: string(topic), From: from, WaitMs: wait.Milliseconds()}
-	ctx, cancel := context.WithTimeout(ctx, wait+viaSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
-	return p.batchVia(func(peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
+	req := &cellpb.ReadRequest{Topic: string(topic), From: from, WaitMs: wait.Milliseconds()}
+	return hedged(ctx, p, wait, func(ctx context.Context) (cell.Batch, error) {
+		return p.direct.Read(ctx, topic, from, wait)
+	}, func(ctx context.Context) (cell.Batch, error) {
+		return p.batchVia(func(peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
+	})
 }
 
 // Newest implements cell.Store.
 func (p *storePath) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
-	if !p.bad() {
-		batch, err := p.direct.Newest(ctx, topic)
-		p.note(ctx, err)
-		return batch, err
-	}
 	req := &cellpb.NewestRequest{Topic: string(topic)}
-	return p.batchVia(func(peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Newest(ctx, req) })
+	return hedged(ctx, p, newestExtra, func(ctx context.Context) (cell.Batch, error) {
+		return p.direct.Newest(ctx, topic)
+	}, func(ctx context.Context) (cell.Batch, error) {
+		return p.batchVia(func(peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Newest(ctx, req) })
+	})
 }
 
 func (p *storePath) batchVia(call func(cellpb.Cell) (*cellpb.BatchResponse, error)) (cell.Batch, error) {
@@ -215,7 +299,6 @@
 	end, err := p.direct.Append(ctx, cell.Append{
 		Topic: cell.Topic(req.Topic), Records: fromWire(req.Records), At: req.At, Epoch: req.Epoch, Sequence: req.Sequence,
 	})
-	p.note(ctx, err)
 	outcome, elsewhere := outcomeOfError(err)
 	return &cellpb.AppendResponse{Outcome: outcome, End: max(end, elsewhere)}
 }
@@ -235,7 +318,6 @@
 	var batch cell.Batch
 	if !p.bad() {
 		batch, err = call()
-		p.note(ctx, err)
 	}
 	outcome, _ := outcomeOfError(err)
 	return &cellpb.BatchResponse{Outcome: outcome, Records: toWire(batch.Records), Next: batch.Next, End: batch.End}
--- a/internal/cell/node/tail.go
+++ b/internal/cell/node/tail.go
@@ -40,8 +40,6 @@
 	loaded atomic.Bool
 	// readAt is when a read last succeeded, in boot time.
 	readAt atomic.Int64
-	// latency is that of the last read that did not wait.
-	latency atomic.Int64
 	// failing is true after a read that failed, so that only changes are logged.
 	failing atomic.Bool
 }
@@ -67,7 +65,6 @@
 	if !t.loaded.Load() {
 		return true, t.load(ctx)
 	}
-	began := boot()
 	batch, err := t.store.Read(ctx, t.topic, t.next.Load(), wait)
 	if errors.Is(err, cell.ErrExpired) {
 		return true, t.load(ctx)
@@ -75,9 +72,6 @@
 	if err != nil {
 		return false, err
 	}
-	if wait == 0 {
-		t.latency.Store(int64(boot() - began))
-	}
 	t.take(batch.Records)
 	t.next.Store(batch.Next)
 	t.readAt.Store(int64(boot()))
--- a/internal/cell/owner/events.go
+++ b/internal/cell/owner/events.go
@@ -128,6 +128,10 @@
 	State cell.State
 }
 
+// Over says that a job has ended, is recorded so and has no open run, so that
+// its submission is needed no longer.
+type Over struct{ Job cell.JobID }
+
 // Resign ends the ownership.
 type Resign struct{ Reason string }
 
@@ -143,5 +147,6 @@
 func (Renew) action()     {}
 func (Ask) action()       {}
 func (Publish) action()   {}
+func (Over) action()      {}
 func (Resign) action()    {}
 func (Decide) action()    {}
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -15,6 +15,8 @@
 	visible cell.State
 	// steps holds the steps of released occurrences that are not done.
 	steps map[cell.StepID]*step
+	// order lists them in the order of their release.
+	order []*step
 	// released counts the occurrences whose steps exist.
 	released int
 	// open counts the occurrences that are released and not done.
@@ -155,6 +157,7 @@
 		}
 		restoreStep(s, progress)
 		j.steps[s.id] = s
+		j.order = append(j.order, s)
 		if s.done < len(s.task) {
 			open = true
 		}
@@ -197,6 +200,10 @@
 		for _, o := range p.Open {
 			m.inheritRun(j, s, p, o)
 		}
+		if s != nil && s.def.Gang && s.active > 0 && s.active < len(s.task)-s.done {
+			// The former owner had ended some members; the others cannot work.
+			m.stopGang(s, "members are missing")
+		}
 	}
 }
 
@@ -241,7 +248,7 @@
 	if j.state.Final() {
 		return
 	}
-	for _, s := range j.steps {
+	for _, s := range j.order {
 		if s.done == len(s.task) || s.ready {
 			continue
 		}
@@ -281,7 +288,7 @@
 	j.finished = m.now.Wall
 	m.markDirty(j)
 	delete(m.due, j.def.ID)
-	for _, s := range j.steps {
+	for _, s := range j.order {
 		delete(m.waiting, s.id)
 		for i := range s.task {
 			if r := s.task[i].run; r != nil {
@@ -311,6 +318,7 @@
 		return
 	}
 	delete(m.jobs, j.def.ID)
+	m.emit(Over{Job: j.def.ID})
 }
 
 // progress returns what is to be recorded of a job.
@@ -319,7 +327,7 @@
 	if j.state.Final() {
 		p.FinishedAt = j.finished.Unix()
 	}
-	for _, s := range j.steps {
+	for _, s := range j.order {
 		if sp, any := s.progress(j.state.Final()); any {
 			p.Steps = append(p.Steps, sp)
 		}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -173,7 +175,8 @@
 		return
 	}
 	m.begunAt = m.now.Mono
-	for id, j := range m.begun {
+	for _, id := range slices.Sorted(maps.Keys(m.begun)) {
+		j := m.begun[id]
 		if j.visible == cell.StateQueued && m.jobs[id] == j {
 			m.markDirty(j)
 		}
--- a/internal/cell/owner/record.go
+++ b/internal/cell/owner/record.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/rotisserie/eris"
 
 	"gypsumwinch/internal/cell"
@@ -12,11 +15,12 @@
 	// starts are the runs whose orders may be sent once the batch is stored.
 	starts []*run
 	// cursors are the ends that the workers may forget once it is stored.
-	cursors map[*worker]cursorMark
+	cursors []cursorMark
 }
 
 // cursorMark is a cursor of one life of a worker.
 type cursorMark struct {
+	worker *worker
 	life   int
 	number int64
 }
@@ -31,8 +35,9 @@
 	if len(m.dirty) == 0 {
 		return nil, 0, nil
 	}
-	b := &batch{states: make(map[cell.JobID]cell.State, len(m.dirty)), cursors: map[*worker]cursorMark{}}
-	for id, j := range m.dirty {
+	b := &batch{states: make(map[cell.JobID]cell.State, len(m.dirty))}
+	for _, id := range slices.Sorted(maps.Keys(m.dirty)) {
+		j := m.dirty[id]
 		value, err := cell.EncodeProgress(j.progress())
 		if err != nil {
 			return nil, 0, eris.Wrapf(err, "job %s", id)
@@ -43,7 +48,7 @@
 	}
 	for _, w := range m.order {
 		if w.cursorSeen > w.cursorRecorded {
-			b.cursors[w] = cursorMark{life: w.life, number: w.cursorSeen}
+			b.cursors = append(b.cursors, cursorMark{worker: w, life: w.life, number: w.cursorSeen})
 		}
 	}
 	clear(m.dirty)
@@ -56,7 +61,7 @@
 // contained in a batch.
 func (j *job) recordingRuns() []*run {
 	var out []*run
-	for _, s := range j.steps {
+	for _, s := range j.order {
 		for i := range s.task {
 			r := s.task[i].run
 			if r != nil && r.phase == phasePlanned {
@@ -75,7 +80,8 @@
 		return
 	}
 	delete(m.batches, number)
-	for id, state := range b.states {
+	for _, id := range slices.Sorted(maps.Keys(b.states)) {
+		state := b.states[id]
 		j, ok := m.jobs[id]
 		if !ok {
 			continue
@@ -86,7 +92,8 @@
 		}
 		m.dropIfOver(j)
 	}
-	for w, mark := range b.cursors {
+	for _, mark := range b.cursors {
+		w := mark.worker
 		if w.life == mark.life {
 			w.cursorRecorded = max(w.cursorRecorded, mark.number)
 		}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -65,7 +65,7 @@
 	r.name = r.id.String()
 	r.inherited = r.phase == phaseInherited
 	r.percentAt = m.now.Mono
-	r.worker.runs[runKey{r.name, r.number}] = r
+	r.worker.addRun(r)
 	r.worker.used = r.worker.used.Add(r.charge)
 	r.job.openRuns++
 	if r.step != nil {
@@ -80,7 +80,7 @@
 	if w.runs[key] != r {
 		return
 	}
-	delete(w.runs, key)
+	w.removeRun(r)
 	w.used = w.used.Sub(r.charge)
 	r.job.openRuns--
 	m.markDirty(r.job)
@@ -310,7 +310,9 @@
 		r.nextSend = m.now.Mono + resendAfter
 	case e.Refused == cell.RefusedGone:
 		m.closeRun(r, "worker started anew")
-	case e.Refused == cell.RefusedNone:
+	case e.Refused == cell.RefusedNone && !r.settled:
+		// Later answers to repeated stops change nothing: a renewal sent after
+		// the first one lists the run if it is there.
 		r.settled = true
 		r.settledAt = m.now.Mono
 	}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -116,7 +116,7 @@
 // onWorker counts a step's runs on a worker.
 func (m *Machine) onWorker(s *step, w *worker) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.step == s {
 			n++
 		}
@@ -223,7 +223,7 @@
 
 // unplan takes a planned run back.
 func (m *Machine) unplan(r *run) {
-	delete(r.worker.runs, runKey{r.name, r.number})
+	r.worker.removeRun(r)
 	r.worker.used = r.worker.used.Sub(r.charge)
 	r.job.openRuns--
 	r.step.active--
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -36,6 +37,8 @@
 	cursorRecorded int64
 
 	runs map[runKey]*run
+	// list holds the runs in the order in which they were opened.
+	list []*run
 	used structs.Resources
 	// strangers counts runs there that the owner does not know.
 	strangers int
@@ -50,6 +53,16 @@
 	number int
 }
 
+func (w *worker) addRun(r *run) {
+	w.runs[runKey{r.name, r.number}] = r
+	w.list = append(w.list, r)
+}
+
+func (w *worker) removeRun(r *run) {
+	delete(w.runs, runKey{r.name, r.number})
+	w.list = slices.DeleteFunc(w.list, func(o *run) bool { return o == r })
+}
+
 func (m *Machine) addWorker(id string) *worker {
 	w := &worker{info: cell.Worker{ID: id}, runs: map[runKey]*run{}}
 	m.workers[id] = w
@@ -115,7 +128,7 @@
 		m.decide(w.info.ID, "worker started anew", "lost_runs", len(w.runs), "born", born)
 	}
 	w.life++
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.list) {
 		if r.born != born {
 			m.closeRun(r, "worker started anew")
 		}
@@ -176,7 +189,7 @@
 		m.expire(w)
 	}
 	m.renewIfDue(w)
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.list) {
 		m.tickRun(r)
 	}
 	m.dropWorkerIfGone(w)
@@ -189,7 +202,7 @@
 	}
 	m.decide(w.info.ID, "worker's lease has passed", "lost_runs", len(w.runs),
 		"silent_ms", (m.now.Mono - w.lastAnswer).Milliseconds())
-	for _, r := range w.runs {
+	for _, r := range slices.Clone(w.list) {
 		m.closeRun(r, "lease passed")
 	}
 }
@@ -227,8 +240,8 @@
 	if !w.known || w.failures > 0 || w.cursorSeen > w.cursorRecorded {
 		return 0
 	}
-	for _, r := range w.runs {
-		if r.phase == phaseInherited || r.phase == phaseEnding {
+	for _, r := range w.list {
+		if r.phase == phaseInherited || r.phase == phaseEnding || r.phase == phaseStopping && r.settled {
 			return 0
 		}
 	}
@@ -324,7 +337,8 @@
 		w.cursorSeen = end.Number
 		m.ended(w, end)
 	}
-	for key, r := range w.runs {
+	for _, r := range slices.Clone(w.list) {
+		key := runKey{r.name, r.number}
 		if !listed[key] && r.mustBeListed(sent) {
 			m.decide(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
