Stop stuck runs; leave the rotation as soon as the store is lost

Changes: readiness asks for a way to the store only; a run without progress for 1 s and 0.4 of its queue's run time is stopped and starts elsewhere. Ruled out: the owner's loss of the store, which costs no window any more.

--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -36,9 +36,6 @@
 	if !n.jobs.loaded.Load() || !n.progress.loaded.Load() {
 		return false
 	}
-	if n.ownerAnswers() != nil {
-		return true
-	}
 	if n.committer.down() {
 		return false
 	}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -34,6 +34,8 @@
 	// renewWait is how long a worker waits for an end before it answers; a third
 	// of the longest lease leaves two more tries.
 	renewWait = 1500 * time.Millisecond
+	// busyWait is the same for a worker with runs, whose progress is watched.
+	busyWait = 1100 * time.Millisecond
 	// silentAfter is how long a worker may leave renewals unanswered before it
 	// gets no new starts.
 	silentAfter = 600 * time.Millisecond
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -245,6 +245,9 @@
 			return 0
 		}
 	}
+	if len(w.runs) > 0 {
+		return busyWait
+	}
 	return renewWait
 }
 
@@ -317,6 +320,7 @@
 // inventory compares what a worker lists with what the owner believes.
 func (m *Machine) inventory(w *worker, sent time.Duration, inv cell.Inventory) {
 	w.strangers = 0
+	defer m.stopStuck(w)
 	listed := make(map[runKey]bool, len(inv.Running)+len(inv.Ended))
 	for _, row := range inv.Running {
 		key := runKey{row.Task, row.Run}
