--- a/cmd/gypsumwinch/main.go
+++ b/cmd/gypsumwinch/main.go
@@ -25,6 +25,7 @@
 	commander.Register(commander.FlagsCommand(), "help")
 	commander.Register(newConfigGroup(settings), "")
 	commander.Register(newJobGroup(settings), "")
+	commander.Register(newLogGroup(settings), "")
 	commander.Register(&classCommand{settings: settings}, "")
 	commander.Register(&workerCommand{settings: settings}, "")
 	commander.Register(&vmCommand{settings: settings}, "")
