Let only larger VMs follow the jobs; look workers up by ticket

Changes: VMs below 0.35 cores follow nothing: they ask the owner, or a VM that follows, about states, and take counts of waiting jobs from the owner's greeting; they claim last. Tickets are looked through instead of workers; queues are found by index.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -57,33 +57,38 @@
 	Guarded map[string]bool
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64
+	// byName is built by Index; a configuration may have thousands of queues.
+	byName map[string]*Queue
+	byHost map[string][]*Queue
 }
 
-// Queue returns the queue with the longest path prefix for a host and path.
-func (c *Config) Queue(host, path string) (Queue, bool) {
-	best := -1
-	for i, q := range c.Queues {
-		if q.Host != host || !strings.HasPrefix(path, q.PathPrefix) {
-			continue
-		}
-		if best < 0 || len(q.PathPrefix) > len(c.Queues[best].PathPrefix) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return Queue{}, false
+// Index prepares a configuration for look-ups. It is called once the queues are
+// complete.
+func (c *Config) Index() {
+	c.byName = make(map[string]*Queue, len(c.Queues))
+	c.byHost = map[string][]*Queue{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		c.byName[q.Name] = q
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
 	}
-	return c.Queues[best], true
 }
 
-// Named returns the queue with a name.
-func (c *Config) Named(name string) (Queue, bool) {
-	for _, q := range c.Queues {
-		if q.Name == name {
-			return q, true
+// Queue returns the queue with the longest path prefix for a host and path, or
+// nil.
+func (c *Config) Queue(host, path string) *Queue {
+	var best *Queue
+	for _, q := range c.byHost[host] {
+		if strings.HasPrefix(path, q.PathPrefix) && (best == nil || len(q.PathPrefix) > len(best.PathPrefix)) {
+			best = q
 		}
 	}
-	return Queue{}, false
+	return best
+}
+
+// Named returns the queue with a name, or nil.
+func (c *Config) Named(name string) *Queue {
+	return c.byName[name]
 }
 
 // Step is a group of equal tasks of a job.
--- a/internal/cell/node/collect.go
+++ b/internal/cell/node/collect.go
@@ -28,6 +28,9 @@
 	for ctx.Err() == nil {
 		pause(ctx, collectEvery)
 		if n.owning() == nil {
+			if !standby(n.settings) {
+				n.mirror.forget(boot() - n.settings.StatusKept - keepSlack)
+			}
 			continue
 		}
 		before := boot() - n.settings.StatusKept - keepSlack
--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -143,6 +143,7 @@
 			c.apply(ctx, ev)
 			c.drain(ctx)
 		case a := <-c.answers:
+			c.logAnswer(a)
 			if ev, ok := c.lanes.answer(a, boot()); ok {
 				c.apply(ctx, ev)
 			}
@@ -219,7 +220,7 @@
 		case owner.Renew:
 			go c.renew(ctx, a.Renewal)
 		case owner.Ask:
-			c.lanes.add(a)
+			c.lanes.add(a, boot())
 		case owner.Publish:
 			c.node.mirror.publish(a.Job, a.State)
 		case owner.Over:
@@ -232,6 +233,16 @@
 	}
 }
 
+// logAnswer writes a line about an answer of the advice service.
+func (c *control) logAnswer(a answered) {
+	q := a.question
+	c.logDecision(owner.Decide{Subject: q.ask.Step.String(), Message: "advice is answered", Details: []any{
+		"through", a.lane.addr, "workers", len(q.ask.Workers), "eligible", len(a.answer.Eligible),
+		"queued_ms", (q.sent - q.asked).Milliseconds(), "answered_ms", (a.received - q.sent).Milliseconds(),
+		"expected_ms", q.ask.Cost.Milliseconds(), "failed", a.err != nil,
+	}})
+}
+
 // logDecision writes a line within the budget of its kind.
 func (c *control) logDecision(d owner.Decide) {
 	b, ok := c.budgets[d.Message]
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -33,7 +33,7 @@
 	if n.draining.Load() || n.config.Load() == nil {
 		return false
 	}
-	if !n.jobs.loaded.Load() || !n.progress.loaded.Load() {
+	if standby(n.settings) && !n.follows() {
 		return false
 	}
 	if n.committer.down() {
@@ -132,17 +132,20 @@
 			return s, true, nil
 		}
 	}
-	if known {
-		n.count("state", "own")
-		return state, true, nil
+	if !known || !n.follows() {
+		s, found, err := n.lookUp(ctx, id)
+		if err == nil && (found || !known) || !known {
+			return s, found, err
+		}
 	}
-	return n.lookUp(ctx, id)
+	n.count("state", "own")
+	return state, true, nil
 }
 
-// lookUp looks an unknown job up in the store.
+// lookUp looks an unknown job up: in the store, or at VMs that follow the jobs.
 func (n *Node) lookUp(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
-	if !n.jobs.loaded.Load() {
-		return 0, false, &cell.NotRunError{After: cell.ReturnSoon, Cause: eris.New("the jobs are not loaded yet")}
+	if !n.follows() {
+		return n.askFollowers(ctx, id)
 	}
 	found, err := n.jobs.peek(ctx, cell.JobKey(id))
 	if err != nil {
@@ -157,10 +160,42 @@
 	return cell.StateQueued, found, nil
 }
 
-func (n *Node) askOwner(ctx context.Context, p cellpb.Cell, id cell.JobID) (cell.State, bool) {
+// askMost bounds the VMs that are asked about one job.
+const askMost = 4
+
+// askFollowers asks other VMs about a job. Only one that follows the jobs, and
+// so would know it, can say that there is none.
+func (n *Node) askFollowers(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+	asked, denied := 0, false
+	for _, p := range n.peersForStore() {
+		if asked == askMost {
+			break
+		}
+		asked++
+		resp, err := n.askState(ctx, p, id)
+		if err != nil || !resp.Follows {
+			continue
+		}
+		if len(resp.State) == 1 {
+			return cell.State(resp.State[0]), true, nil
+		}
+		denied = true
+	}
+	if denied {
+		return 0, false, nil
+	}
+	n.count("state", "unknown")
+	return 0, false, &cell.NotRunError{After: cell.ReturnSoon, Cause: eris.New("no VM that follows the jobs answers")}
+}
+
+func (n *Node) askState(ctx context.Context, p cellpb.Cell, id cell.JobID) (*cellpb.StateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, askOwnerTimeout)
 	defer cancel()
-	resp, err := p.State(ctx, &cellpb.StateRequest{Job: string(id)})
+	return p.State(ctx, &cellpb.StateRequest{Job: string(id)})
+}
+
+func (n *Node) askOwner(ctx context.Context, p cellpb.Cell, id cell.JobID) (cell.State, bool) {
+	resp, err := n.askState(ctx, p, id)
 	if err != nil {
 		n.count("state", "owner_failed")
 		n.log.Debug("owner does not answer", "id", string(id), "error", err.Error())
@@ -193,5 +228,12 @@
 
 // Pending counts a queue's jobs of which no task has started.
 func (n *Node) Pending(queue string) int {
-	return n.mirror.pending(queue)
+	if n.follows() {
+		return n.mirror.pending(queue)
+	}
+	counts := n.pendings.Load()
+	if counts == nil {
+		return n.mirror.pending(queue)
+	}
+	return int((*counts)[queue])
 }
--- a/internal/cell/node/greet.go
+++ b/internal/cell/node/greet.go
@@ -24,6 +24,9 @@
 	// heardFresh is how long an answer of the owner counts: one greeting may be
 	// lost.
 	heardFresh = 2*greetEvery + 50*time.Millisecond
+	// pendingEvery is how often a VM that does not follow the jobs asks for the
+	// counts of waiting ones, which may be 2 s old.
+	pendingEvery = 800 * time.Millisecond
 	// knownMost bounds the VMs that are remembered and passed on.
 	knownMost = 256
 )
@@ -76,14 +79,27 @@
 	return election.Heard{Well: h.well && fresh, Failing: !h.well && fresh, Offset: h.offset, Age: age}
 }
 
-// meet remembers a VM.
-func (n *Node) meet(addr string) {
+// meet remembers a VM and reports whether it is new.
+func (n *Node) meet(addr string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if addr == n.settings.Peers || slices.Contains(n.met, addr) || len(n.met) >= knownMost {
-		return
+		return false
 	}
 	n.met = append(n.met, addr)
+	n.metAt = boot()
+	return true
+}
+
+// newsFor is how long the list of VMs is passed on after it has changed, and
+// again every so often.
+const newsFor = 2 * time.Second
+
+// metRecently reports whether the list of VMs is to be passed on.
+func (n *Node) metRecently() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return boot()-n.metAt < newsFor
 }
 
 // peersForStore returns clients of the VMs through which the store may be
@@ -147,10 +163,15 @@
 func (n *Node) hello(ctx context.Context, p cellpb.Cell) (*cellpb.HelloResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
-	resp, err := p.Hello(ctx, &cellpb.HelloRequest{Name: n.settings.Name, Addr: n.settings.Peers})
+	wanted := !n.follows() && boot()-time.Duration(n.pendingAt.Load()) > pendingEvery
+	resp, err := p.Hello(ctx, &cellpb.HelloRequest{Name: n.settings.Name, Addr: n.settings.Peers, WantPending: wanted})
 	if err != nil {
 		return nil, err
 	}
+	if wanted && resp.Pending != nil {
+		n.pendings.Store(&resp.Pending)
+		n.pendingAt.Store(int64(boot()))
+	}
 	for _, addr := range resp.Peers {
 		n.meet(addr)
 	}
--- a/internal/cell/node/lanes.go
+++ b/internal/cell/node/lanes.go
@@ -54,6 +54,9 @@
 type question struct {
 	ask   owner.Ask
 	tries int
+	// asked and sent are when the owner asked and when the call was made.
+	asked time.Duration
+	sent  time.Duration
 }
 
 // lanes spreads questions. It belongs to the control loop.
@@ -110,8 +113,8 @@
 }
 
 // add queues a question.
-func (l *lanes) add(a owner.Ask) {
-	q := question{ask: a}
+func (l *lanes) add(a owner.Ask, now time.Duration) {
+	q := question{ask: a, asked: now}
 	if a.Urgent {
 		l.urgent = append(l.urgent, q)
 		return
@@ -173,6 +176,7 @@
 // start sends a question through a lane.
 func (l *lanes) start(ctx context.Context, ln *lane, q question, now time.Duration) {
 	q.tries++
+	q.sent = now
 	ln.under++
 	if q.ask.Cost >= longQuestion {
 		ln.long++
--- a/internal/cell/node/mirror.go
+++ b/internal/cell/node/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync"
+	"time"
 
 	"gypsumwinch/internal/cell"
 )
@@ -29,6 +30,8 @@
 	progress []byte
 	// openRuns is true if the progress of an ended job lists open runs.
 	openRuns bool
+	// seen is when the submission was seen, in boot time.
+	seen time.Duration
 	// finishedSeen is when a final state was seen, in boot time seconds.
 	finishedSeen int64
 }
@@ -101,9 +104,13 @@
 func (e *entry) setJob(value []byte) bool {
 	e.stored = true
 	if e.submitted {
+		if e.job == nil && (!e.state.Final() || e.openRuns) {
+			e.job = bytes.Clone(value)
+		}
 		return false
 	}
 	e.submitted = true
+	e.seen = boot()
 	if e.state.Final() && !e.openRuns {
 		// A submission that arrives again after the job's end.
 		return false
@@ -238,6 +245,32 @@
 	return out
 }
 
+// pendingByQueue counts the jobs of each queue of which no task has started.
+func (m *mirror) pendingByQueue() map[string]int32 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]int32{}
+	for _, e := range m.live {
+		if e.state == cell.StateQueued && !e.cancelled {
+			out[e.queue]++
+		}
+	}
+	return out
+}
+
+// forget drops what was seen before a time, on a VM that does not follow the
+// jobs and so does not hear of their ends.
+func (m *mirror) forget(before time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, e := range m.jobs {
+		if e.seen < before {
+			delete(m.jobs, id)
+			delete(m.live, id)
+		}
+	}
+}
+
 // size counts the jobs.
 func (m *mirror) size() int {
 	m.mu.Lock()
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -89,6 +89,11 @@
 	unheardAt atomic.Int64
 	// refusals bounds the lines about refused submissions, under mu.
 	refusals budget
+	// pendings are the counts of waiting jobs as the owner told them.
+	pendings  atomic.Pointer[map[string]int32]
+	pendingAt atomic.Int64
+	// metAt is when met last changed, under mu.
+	metAt time.Duration
 	// met holds the addresses of other VMs, under mu.
 	met      []string
 	draining atomic.Bool
@@ -148,9 +153,28 @@
 	claimJitter = 100 * time.Millisecond
 )
 
+const (
+	// standbyProcessor is the share of a core from which a VM follows the jobs, so
+	// that it can take over at once. Smaller VMs would spend it on reading.
+	standbyProcessor = 0.35
+	// claimLast is the further delay of the claims of VMs that do not.
+	claimLast = 1200 * time.Millisecond
+)
+
+// standby reports whether a VM follows the jobs while it does not own the cell.
+func standby(s Settings) bool { return s.Processor >= standbyProcessor }
+
+// follows reports whether this VM knows the states of all jobs.
+func (n *Node) follows() bool {
+	return n.owning() != nil || standby(n.settings) && n.jobs.loaded.Load() && n.progress.loaded.Load()
+}
+
 // claimDelay lets VMs with more processor claim first.
 func claimDelay(s Settings) time.Duration {
 	delay := time.Duration(float64(claimSpread) * max(0, 1-s.Processor))
+	if !standby(s) {
+		delay += claimLast
+	}
 	var sum int
 	for _, c := range s.Name {
 		sum = (sum*31 + int(c)) % 1009
@@ -215,6 +239,10 @@
 // followJobs reads submissions. The owner hears of them from the other VMs; if
 // some arrive by reading first, it waits for them at the store.
 func (n *Node) followJobs(ctx context.Context) {
+	for !standby(n.settings) && n.owning() == nil && ctx.Err() == nil {
+		// Reads nothing, but keeps looking whether the store answers.
+		n.watchStore(ctx)
+	}
 	unheard := func() bool { return boot()-time.Duration(n.unheardAt.Load()) < unheardFor }
 	wait := func() time.Duration {
 		if n.owning() != nil && unheard() {
@@ -231,10 +259,17 @@
 	n.jobs.follow(ctx, wait, every)
 }
 
+// watchStore notes that the store answers by reading the configuration, as a VM
+// that follows nothing else does anyway.
+func (n *Node) watchStore(ctx context.Context) {
+	n.jobs.readAt.Store(n.configs.readAt.Load())
+	pause(ctx, ownerEvery)
+}
+
 // followProgress reads the progress; the owner knows what it writes itself.
 func (n *Node) followProgress(ctx context.Context) {
 	for ctx.Err() == nil {
-		if n.owning() != nil {
+		if n.owning() != nil || !standby(n.settings) {
 			pause(ctx, ownerEvery)
 			continue
 		}
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -30,14 +30,11 @@
 
 // State implements cellpb.Cell.
 func (s *rpcServer) State(_ context.Context, req *cellpb.StateRequest) (*cellpb.StateResponse, error) {
-	if s.node.owning() == nil {
-		return &cellpb.StateResponse{}, nil
+	resp := &cellpb.StateResponse{Follows: s.node.follows()}
+	if state, known := s.node.mirror.state(cell.JobID(req.Job)); known && resp.Follows {
+		resp.State = string(state)
 	}
-	state, known := s.node.mirror.state(cell.JobID(req.Job))
-	if !known {
-		return &cellpb.StateResponse{}, nil
-	}
-	return &cellpb.StateResponse{State: string(state)}, nil
+	return resp, nil
 }
 
 // Ask implements cellpb.Cell.
@@ -89,8 +86,12 @@
 	if config := n.config.Load(); config != nil {
 		resp.ConfigVersion = config.Version
 	}
-	n.meet(req.Addr)
-	resp.Peers = n.known()
+	if n.meet(req.Addr) || n.metRecently() {
+		resp.Peers = n.known()
+	}
+	if req.WantPending && n.follows() {
+		resp.Pending = n.mirror.pendingByQueue()
+	}
 	c := n.owning()
 	if c == nil {
 		return resp, nil
--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -15,20 +15,29 @@
 	next time.Duration
 	// eligible has an entry for each worker that was asked about.
 	eligible map[string]bool
-	tickets  map[string]ticket
+	tickets  []ticket
 }
 
 // ticket permits starts in one life of a worker.
 type ticket struct {
+	worker  *worker
 	text    string
 	expires time.Duration
 	born    int64
 }
 
+// valid reports whether a start can be recorded and sent within the validity.
+func (t *ticket) valid(now time.Duration) bool {
+	return t.born == t.worker.info.Born && now+ticketMargin <= t.expires
+}
+
 // Limits of questions to the advice service.
 const (
 	// adviceRetry is the pause after a question without an answer.
 	adviceRetry = 150 * time.Millisecond
+	// roomRetry is the pause before workers are looked through again for a step
+	// that had no room.
+	roomRetry = 40 * time.Millisecond
 	// ticketMargin is taken off a ticket's validity: a start is recorded and
 	// sent within it.
 	ticketMargin = 60 * time.Millisecond
@@ -39,17 +48,38 @@
 	askSurplus = 1.6
 )
 
-func (a *adviceState) drop(worker string) {
-	delete(a.tickets, worker)
+// find returns the ticket for a worker, or nil.
+func (a *adviceState) find(w *worker) *ticket {
+	for i := range a.tickets {
+		if a.tickets[i].worker == w {
+			return &a.tickets[i]
+		}
+	}
+	return nil
+}
+
+// drop makes the ticket for a worker invalid.
+func (a *adviceState) drop(w *worker) {
+	if t := a.find(w); t != nil {
+		t.expires = 0
+	}
+}
+
+// put adds or renews a ticket.
+func (a *adviceState) put(t ticket) {
+	if old := a.find(t.worker); old != nil {
+		*old = t
+		return
+	}
+	a.tickets = append(a.tickets, t)
 }
 
-// ticketFor returns a valid ticket.
-func (a *adviceState) ticketFor(w *worker, now time.Duration) (string, bool) {
-	t, ok := a.tickets[w.info.ID]
-	if !ok || t.born != w.info.Born || now+ticketMargin > t.expires {
-		return "", false
+// ticketFor returns the text of a valid ticket, or "".
+func (a *adviceState) ticketFor(w *worker, now time.Duration) string {
+	if t := a.find(w); t != nil && t.valid(now) {
+		return t.text
 	}
-	return t.text, true
+	return ""
 }
 
 // mayRun reports whether a worker may turn out, or is known, to be eligible.
@@ -78,7 +108,7 @@
 		return
 	}
 	if a.eligible == nil {
-		a.eligible, a.tickets = map[string]bool{}, map[string]ticket{}
+		a.eligible = map[string]bool{}
 	}
 	fresh := 0
 	for _, id := range e.Asked {
@@ -99,7 +129,7 @@
 		}
 		a.eligible[t.Worker] = true
 		if w, ok := m.workers[t.Worker]; ok {
-			a.tickets[t.Worker] = ticket{text: t.Ticket, expires: m.now.Mono - e.Age + validity, born: w.info.Born}
+			a.put(ticket{worker: w, text: t.Ticket, expires: m.now.Mono - e.Age + validity, born: w.info.Born})
 		}
 	}
 	if fresh > 0 {
@@ -110,13 +140,15 @@
 }
 
 // ask asks which workers with room may run the remaining tasks of a step.
-func (m *Machine) ask(s *step, q cell.Queue, need int) {
+func (m *Machine) ask(s *step, q *cell.Queue, need int) {
 	a := &s.advice
 	if a.asking || m.now.Mono < a.next || need == 0 {
 		return
 	}
 	names, expected := m.candidates(s, q, need)
 	if len(names) == 0 || s.def.Gang && expected < float64(need) {
+		// Room comes with the next ends.
+		a.next = m.now.Mono + roomRetry
 		return
 	}
 	a.asking = true
@@ -131,7 +163,7 @@
 
 // candidates picks workers with room until the expected room of the eligible
 // ones is enough.
-func (m *Machine) candidates(s *step, q cell.Queue, need int) (names []string, expected float64) {
+func (m *Machine) candidates(s *step, q *cell.Queue, need int) (names []string, expected float64) {
 	share := m.stats(s.job.def.Queue.Name).eligible
 	type candidate struct {
 		worker *worker
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -9,8 +9,11 @@
 
 // job is a job that is not over, or whose runs are not.
 type job struct {
-	def   *cell.Job
-	state cell.State
+	def *cell.Job
+	// queue is the job's queue in queueConfig.
+	queue       *cell.Queue
+	queueConfig *cell.Config
+	state       cell.State
 	// visible is the state that is in the store.
 	visible cell.State
 	// steps holds the steps of released occurrences that are not done.
@@ -86,13 +89,19 @@
 }
 
 // queue returns a job's queue as configured now, or as it was at submission.
-func (m *Machine) queue(j *job) cell.Queue {
-	if m.config != nil {
-		if q, ok := m.config.Named(j.def.Queue.Name); ok {
-			return q
-		}
+func (m *Machine) queue(j *job) *cell.Queue {
+	if j.queueConfig == m.config && j.queue != nil {
+		return j.queue
+	}
+	j.queueConfig = m.config
+	j.queue = &j.def.Queue
+	if m.config == nil {
+		return j.queue
+	}
+	if q := m.config.Named(j.def.Queue.Name); q != nil {
+		j.queue = q
 	}
-	return j.def.Queue
+	return j.queue
 }
 
 // submit takes a job over. A job that is known already stays as it is.
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -271,7 +271,7 @@
 		return
 	case cell.RefusedTicket:
 		if r.step != nil {
-			r.step.advice.drop(w.info.ID)
+			r.step.advice.drop(w)
 		}
 	case cell.RefusedBusy, cell.RefusedRoom:
 		w.avoidUntil = m.now.Mono + refusedPause
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -24,7 +24,7 @@
 // ranked is a waiting step with its place in the order.
 type ranked struct {
 	step  *step
-	queue cell.Queue
+	queue *cell.Queue
 	// lateness is 0 while the job can be in time, 1 while it earns something
 	// late, 2 after that.
 	lateness int
@@ -65,7 +65,7 @@
 
 // objective estimates within which time of its submission a job is to be
 // completed.
-func (m *Machine) objective(j *job, q cell.Queue) time.Duration {
+func (m *Machine) objective(j *job, q *cell.Queue) time.Duration {
 	learned := m.stats(j.def.Queue.Name).runTime
 	var chain time.Duration
 	for i := range j.def.Steps {
@@ -79,7 +79,7 @@
 }
 
 // suits reports whether a worker may run a step, room and advice aside.
-func (m *Machine) suits(w *worker, s *step, q cell.Queue) bool {
+func (m *Machine) suits(w *worker, s *step, q *cell.Queue) bool {
 	return w.info.Service == q.Service && m.usable(w) && w.info.HasLabel(s.def.Label)
 }
 
@@ -125,7 +125,7 @@
 }
 
 // placeStep plans runs for the tasks of a step that have none.
-func (m *Machine) placeStep(s *step, q cell.Queue) {
+func (m *Machine) placeStep(s *step, q *cell.Queue) {
 	pending := m.pending(s)
 	if len(pending) == 0 {
 		if s.active == len(s.task)-s.done && !s.def.LongRunning {
@@ -171,7 +171,7 @@
 }
 
 // placeGang plans runs for all tasks of a gang, or for none.
-func (m *Machine) placeGang(s *step, q cell.Queue, pending []int) {
+func (m *Machine) placeGang(s *step, q *cell.Queue, pending []int) {
 	number := s.lastRun + 1
 	var planned []*run
 	for _, i := range pending {
@@ -196,7 +196,6 @@
 
 // plan reserves room for a run. Its order is sent once it is recorded.
 func (m *Machine) plan(s *step, index, number int, w *worker) *run {
-	text, _ := s.advice.ticketFor(w, m.now.Mono)
 	r := &run{
 		id:     cell.TaskID{StepID: s.id, Index: index},
 		number: number,
@@ -206,7 +205,7 @@
 		born:   w.info.Born,
 		charge: s.def.Charge(),
 		phase:  phasePlanned,
-		ticket: text,
+		ticket: s.advice.ticketFor(w, m.now.Mono),
 	}
 	s.task[index].run = r
 	s.lastRun = number
@@ -230,28 +229,39 @@
 	r.step.task[r.id.Index].run = nil
 }
 
-// choose returns the worker for a task, or nil.
-func (m *Machine) choose(s *step, q cell.Queue, index int) *worker {
-	var best *worker
-	bestScore := 0.0
-	for _, w := range m.order {
-		if !m.suits(w, s, q) {
-			continue
+// choose returns the worker for a task, or nil. Where advice is needed only
+// workers with a ticket count.
+func (m *Machine) choose(s *step, q *cell.Queue, index int) *worker {
+	best := choice{}
+	if q.Advice == nil {
+		for _, w := range m.order {
+			m.consider(&best, w, s, q, index)
 		}
-		if q.Advice != nil {
-			if _, ok := s.advice.ticketFor(w, m.now.Mono); !ok {
-				continue
-			}
-		}
-		if m.roomFor(w, s) == 0 {
-			continue
-		}
-		score := m.score(w, s, index)
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		return best.worker
+	}
+	for i := range s.advice.tickets {
+		if t := &s.advice.tickets[i]; t.valid(m.now.Mono) {
+			m.consider(&best, t.worker, s, q, index)
 		}
 	}
-	return best
+	return best.worker
+}
+
+// choice is the best worker so far.
+type choice struct {
+	worker *worker
+	score  float64
+}
+
+// consider takes a worker if it suits, has room and is better.
+func (m *Machine) consider(best *choice, w *worker, s *step, q *cell.Queue, index int) {
+	if !m.suits(w, s, q) || m.roomFor(w, s) == 0 {
+		return
+	}
+	score := m.score(w, s, index)
+	if best.worker == nil || score < best.score {
+		best.worker, best.score = w, score
+	}
 }
 
 // Weights of the score of a worker for a task, in shares of a worker's
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -147,6 +147,7 @@
 			Advice: &cell.Advice{Decision: 10 * time.Millisecond, Validity: 2 * time.Second}},
 		{Name: "long", Service: "desk", Priority: 1, MaxAttempts: 2, Slack: 3, Target: time.Second},
 	}}
+	s.config.Index()
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		s.workers[id] = &simWorker{sim: s, up: true, bornAt: 0, info: cell.Worker{
