--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -217,6 +217,8 @@
 			go c.sendStart(ctx, a.Start)
 		case owner.SendStop:
 			go c.sendStop(ctx, a.Stop)
+		case owner.SendPace:
+			go c.sendPace(ctx, a.Pace)
 		case owner.Renew:
 			go c.renew(ctx, a.Renewal)
 		case owner.Ask:
@@ -275,6 +277,13 @@
 	c.post(ctx, owner.Stopped{Task: s.Task, Run: s.Run, Worker: s.Worker, Refused: refused, Err: err})
 }
 
+func (c *control) sendPace(ctx context.Context, p cell.Pace) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	refused, err := c.node.workers.Pace(callCtx, p)
+	c.post(ctx, owner.Paced{Pace: p, Refused: refused, Err: err})
+}
+
 func (c *control) renew(ctx context.Context, r cell.Renewal) {
 	sent := boot()
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+renewSlack)
--- a/internal/cell/owner/events.go
+++ b/internal/cell/owner/events.go
@@ -69,6 +69,13 @@
 	Err     error
 }
 
+// Paced is the result of a SendPace action.
+type Paced struct {
+	Pace    cell.Pace
+	Refused cell.Refusal
+	Err     error
+}
+
 // Advised is the result of an Ask action.
 type Advised struct {
 	Step   cell.StepID
@@ -95,6 +102,7 @@
 func (Renewed) event()       {}
 func (Started) event()       {}
 func (Stopped) event()       {}
+func (Paced) event()         {}
 func (Advised) event()       {}
 func (Recorded) event()      {}
 func (StoreReached) event()  {}
@@ -109,6 +117,9 @@
 // SendStop sends an order to stop a run.
 type SendStop struct{ Stop cell.Stop }
 
+// SendPace sends an order to let a run work slower or faster.
+type SendPace struct{ Pace cell.Pace }
+
 // Renew renews a worker's lease and asks what runs there.
 type Renew struct{ Renewal cell.Renewal }
 
@@ -144,6 +155,7 @@
 
 func (SendStart) action() {}
 func (SendStop) action()  {}
+func (SendPace) action()  {}
 func (Renew) action()     {}
 func (Ask) action()       {}
 func (Publish) action()   {}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -116,6 +116,8 @@
 		m.startAnswered(e)
 	case Stopped:
 		m.stopAnswered(e)
+	case Paced:
+		m.paced(e)
 	case Advised:
 		m.advised(e)
 	case Recorded:
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -54,6 +54,13 @@
 	settled   bool
 	startedAt time.Duration
 
+	// pace is the share of its speed at which the run works, in percent; -1 if a
+	// former owner may have set it.
+	pace   int
+	pacing bool
+	// figure is the tail in ms of a serving task.
+	figure float64
+
 	percent   int
 	percentAt time.Duration
 	// begunAt is when the run was first seen to progress.
@@ -64,6 +71,10 @@
 func (m *Machine) openRun(r *run) {
 	r.name = r.id.String()
 	r.inherited = r.phase == phaseInherited
+	r.pace = fullPace
+	if r.inherited {
+		r.pace = -1
+	}
 	r.percentAt = m.now.Mono
 	r.worker.addRun(r)
 	r.worker.used = r.worker.used.Add(r.charge)
@@ -333,6 +344,7 @@
 		r.percent = row.Percent
 		r.percentAt = m.now.Mono
 	}
+	r.figure = row.Figure
 	m.keepCheckpoint(r, row.Checkpoint)
 }
 
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -245,6 +245,9 @@
 			return 0
 		}
 	}
+	if serving, filling := w.sharing(); len(serving) > 0 && len(filling) > 0 {
+		return shareWait
+	}
 	if len(w.runs) > 0 {
 		return busyWait
 	}
@@ -321,6 +324,7 @@
 func (m *Machine) inventory(w *worker, sent time.Duration, inv cell.Inventory) {
 	w.strangers = 0
 	defer m.stopStuck(w)
+	defer m.share(w)
 	listed := make(map[runKey]bool, len(inv.Running)+len(inv.Ended))
 	for _, row := range inv.Running {
 		key := runKey{row.Task, row.Run}
--- a/internal/cell/ports.go
+++ b/internal/cell/ports.go
@@ -104,6 +104,17 @@
 	Token  int64
 }
 
+// Pace is an order to let a run work at a share of its speed.
+type Pace struct {
+	Task   string
+	Run    int
+	Worker string
+	Addr   string
+	Token  int64
+	// Percent is 0 to 100.
+	Percent int
+}
+
 // Renewal renews the lease on all that runs on a worker and asks what runs there.
 type Renewal struct {
 	Worker string
@@ -123,6 +134,7 @@
 	Start(ctx context.Context, s Start) (clock time.Duration, refused Refusal, err error)
 	Stop(ctx context.Context, s Stop) (refused Refusal, err error)
 	Renew(ctx context.Context, r Renewal) (inv Inventory, refused Refusal, err error)
+	Pace(ctx context.Context, p Pace) (refused Refusal, err error)
 }
 
 // ErrAdviceBusy means that too many questions are waiting at the advice service.
