--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -255,12 +255,12 @@
 
 // Worker is a worker as it reports itself in the store.
 type Worker struct {
-	ID       string
-	Service  string
-	Addr     string
-	Zone     string
-	Born     int64
-	Capacity structs.Resources
+	ID         string
+	Service    string
+	Addr       string
+	DataCentre string
+	Born       int64
+	Capacity   structs.Resources
 	// Labels are its kind and its rack, in this order.
 	Labels   []string
 	Draining bool
--- a/internal/cell/node/tail.go
+++ b/internal/cell/node/tail.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	t.logUnreadable(batch)
 	t.take(batch.Records)
 	t.next.Store(max(batch.Next, 0))
 	t.loaded.Store(true)
@@ -72,6 +73,7 @@
 	if err != nil {
 		return false, err
 	}
+	t.logUnreadable(batch)
 	t.take(batch.Records)
 	t.next.Store(batch.Next)
 	t.readAt.Store(int64(boot()))
@@ -123,6 +125,13 @@
 	}
 }
 
+// logUnreadable logs records that could not be read.
+func (t *tail) logUnreadable(batch cell.Batch) {
+	if batch.Unreadable > 0 {
+		t.report("records cannot be read", "topic", string(t.topic), "records", batch.Unreadable, "next", batch.Next)
+	}
+}
+
 // logChange logs when reads begin to fail and when they succeed again.
 func (t *tail) logChange(err error) {
 	failing := err != nil && !errors.Is(err, context.Canceled)
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		r := &others
-		if w.info.Zone == dataCentre {
+		if w.info.DataCentre == dataCentre {
 			r = &own
 		}
 		r.Listed++
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -151,7 +151,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		s.workers[id] = &simWorker{sim: s, up: true, bornAt: 0, info: cell.Worker{
-			ID: id, Service: "desk", Addr: id, Zone: "a", Born: 1,
+			ID: id, Service: "desk", Addr: id, DataCentre: "a", Born: 1,
 			Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000},
 			Labels:   []string{"k", fmt.Sprintf("r%d", i/3)},
 		}, runs: map[string]*simRun{}, closed: map[string]int{}}
--- a/internal/cell/ports.go
+++ b/internal/cell/ports.go
@@ -40,6 +40,8 @@
 // Batch is what a read returned.
 type Batch struct {
 	Records []KeyValue
+	// Unreadable counts records of other writers that were passed over.
+	Unreadable int
 	// Next is the offset to read from next.
 	Next int64
 	// End is the offset at which the topic ended.
