--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -10,7 +11,8 @@
 
 // adviceState is what is known about the workers that may run a step.
 type adviceState struct {
-	asking bool
+	// asking counts the questions under way.
+	asking int
 	// next is when the service may be asked again.
 	next time.Duration
 	// eligible has an entry for each worker that was asked about.
@@ -46,6 +48,12 @@
 	// askSurplus times the needed room is asked for, since eligibility is a
 	// matter of chance and room may be taken meanwhile.
 	askSurplus = 1.6
+	// gangSurplus is the same for gangs, which need all their room at once:
+	// another round costs as long as its answer.
+	gangSurplus = 2.2
+	// questionSize splits large questions over several lanes: an answer about 30
+	// workers is what objectives allow for.
+	questionSize = 30
 )
 
 // find returns the ticket for a worker, or nil.
@@ -99,7 +107,7 @@
 		return
 	}
 	a := &s.advice
-	a.asking = false
+	a.asking--
 	if e.Err != nil {
 		a.next = m.now.Mono + adviceRetry
 		if !errors.Is(e.Err, cell.ErrAdviceBusy) {
@@ -142,7 +150,7 @@
 // ask asks which workers with room may run the remaining tasks of a step.
 func (m *Machine) ask(s *step, q *cell.Queue, need int) {
 	a := &s.advice
-	if a.asking || m.now.Mono < a.next || need == 0 {
+	if a.asking > 0 || m.now.Mono < a.next || need == 0 {
 		return
 	}
 	names, expected := m.candidates(s, q, need)
@@ -151,14 +159,16 @@
 		a.next = m.now.Mono + roomRetry
 		return
 	}
-	a.asking = true
 	m.decide(s.id.String(), "advice is asked", "workers", len(names), "expected_room", int(expected*10)/10, "need", need)
-	m.emit(Ask{
-		Step:    s.id,
-		Workers: names,
-		Cost:    q.Advice.Cost(len(names)),
-		Urgent:  q.Priority == 0,
-	})
+	for part := range slices.Chunk(names, questionSize) {
+		a.asking++
+		m.emit(Ask{
+			Step:    s.id,
+			Workers: part,
+			Cost:    q.Advice.Cost(len(part)),
+			Urgent:  q.Priority == 0,
+		})
+	}
 }
 
 // candidates picks workers with room until the expected room of the eligible
@@ -192,7 +202,11 @@
 		all = append(all, candidate{worker: w, room: room, key: key})
 	}
 	sort.Slice(all, func(i, k int) bool { return all[i].key > all[k].key })
-	want := float64(need)*askSurplus + 1
+	surplus := askSurplus
+	if s.def.Gang {
+		surplus = gangSurplus
+	}
+	want := float64(need)*surplus + 1
 	for _, c := range all {
 		if expected >= want || len(names) >= maxAsked {
 			break
