--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -145,6 +145,9 @@
 		case !gone || e.opts.Now() < e.yieldUntil:
 			continue
 		}
+		if free, err := e.letOthers(ctx); err != nil || !free {
+			continue
+		}
 		term, won, err := e.claim(ctx)
 		if err != nil {
 			e.opts.Log("claim failed", "error", err.Error())
@@ -158,6 +161,14 @@
 	return 0, ctx.Err()
 }
 
+// letOthers leaves the claim to VMs with less delay, and reports whether none of
+// them has claimed.
+func (e *Election) letOthers(ctx context.Context) (free bool, err error) {
+	e.pause(ctx, e.opts.Delay)
+	instance := e.last.Instance
+	return e.confirm(ctx, instance)
+}
+
 // load reads the newest record.
 func (e *Election) load(ctx context.Context) error {
 	batch, err := e.store.Newest(ctx, cell.TopicOwner)
@@ -191,9 +202,9 @@
 		e.next = heard.Offset
 		silent = max(ClaimAfter-heard.Age, BeatEvery)
 	}
-	wait := silent + e.opts.Delay + latencyFactor*e.opts.Latency()
+	wait := silent + latencyFactor*e.opts.Latency()
 	if e.last.Resigned {
-		wait = e.opts.Delay
+		wait = 0
 	}
 	return e.await(ctx, wait)
 }
--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -43,8 +43,8 @@
 	// ticketMargin is taken off a ticket's validity: a start is recorded and
 	// sent within it.
 	ticketMargin = 60 * time.Millisecond
-	// maxAsked is the largest number of workers in one question.
-	maxAsked = 100
+	// maxAsked bounds the workers of one round of questions.
+	maxAsked = 240
 	// askSurplus times the needed room is asked for, since eligibility is a
 	// matter of chance and room may be taken meanwhile.
 	askSurplus = 1.6
@@ -154,7 +154,10 @@
 		return
 	}
 	names, expected := m.candidates(s, q, need)
-	if len(names) == 0 || s.def.Gang && expected < float64(need) {
+	// A gang that has too little room in sight waits, unless more workers than
+	// one round may name have room: it learns by rounds then which are eligible.
+	tooLittle := s.def.Gang && expected < float64(need) && len(names) < maxAsked
+	if len(names) == 0 || tooLittle {
 		// Room comes with the next ends.
 		a.next = m.now.Mono + roomRetry
 		return
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -238,3 +238,33 @@
 		is.Equal(len(taken[SendStart](f)), 1)
 	}
 }
+
+// TestGangWiderThanOneRoundIsAsked guards against a gang that never asks for
+// advice, and so never runs, because one round of questions cannot promise it
+// enough room.
+func TestGangWiderThanOneRoundIsAsked(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	config := &cell.Config{Version: 2, Queues: []cell.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Slack: 2, Advice: &cell.Advice{}}}}
+	config.Index()
+	f.apply(ConfigChanged{Config: config})
+	for i := range 2 * maxAsked {
+		id := "v" + jobName(i)
+		f.apply(WorkersListed{Workers: []cell.Worker{{ID: string(id), Service: "s", Addr: "w:1", Born: 1,
+			Capacity: structs.Resources{MilliCPU: 1000, MemoryMB: 1000}}}})
+		f.apply(Renewed{Worker: string(id), Sent: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1}})
+		f.look()
+	}
+	gang := newStep(maxAsked, 1000)
+	gang.Gang = true
+	f.m.stats("q").eligible = 0.3
+	f.apply(JobSubmitted{Job: newJob("j", gang)})
+	f.forget()
+	f.actions = append(f.actions, f.m.Place(f.time())...)
+	asked := 0
+	for _, a := range taken[Ask](f) {
+		is.True(len(a.Workers) <= questionSize)
+		asked += len(a.Workers)
+	}
+	is.Equal(asked, maxAsked)
+}
