--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -63,8 +63,6 @@
 
 	percent   int
 	percentAt time.Duration
-	// begunAt is when the run was first seen to progress.
-	begunAt time.Duration
 }
 
 // openRun reserves a run's room.
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -132,7 +132,6 @@
 	closed   map[string]int
 	ended    []cell.Ended
 	number   int64
-	acked    int64
 	life     int
 }
 
