Count leases without the log only once a read has failed

Cause of the known red test (seeds 7 and 43 of silentOwner): an owner with a majority of leases kept its authority when its last read was older than the authority period, whether reads had failed or were only late. Workers that refuse nobody confirm such leases after a successor's claim.

An owner now relies on its leases only after a read has failed since the last one that reached the end.

Ruled out: a shorter authority period, which would make every owner lose its authority in slow logs.

TestSlowReadsWithCarelessWorkers: failed with 2 of 200 seeds, passes with 200. TestOneOwner, its variants and TestRecovery pass with 1,000 plans each. TestTakeoverKeepsTasks with 300 plans a kind: 0 tasks lost, same times as before.

--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -115,6 +115,7 @@
 	}
 	m.lastEnd = e.Sent
 	m.readAt = now
+	m.unreachable = false
 	m.attemptAt = max(m.attemptAt, now+m.opt.HeartbeatTimeout+m.jitter(m.opt.ClaimJitter))
 	if m.phase == claimant {
 		m.settled = true
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -56,6 +56,10 @@
 	logTime   time.Time
 	logTimeAt time.Duration
 
+	// unreachable is true if the last answer to a read was a failure. A log that
+	// answers late is not out of reach: a later claim may be on it.
+	unreachable bool
+
 	// maxTerm is the highest term heard of, from log, peers and workers.
 	maxTerm int64
 	peer    Owner
@@ -197,7 +201,13 @@
 		if !m.full {
 			return fresh
 		}
-		return max(min(fresh, m.leases.until+m.fresh()), isolated)
+		shared := min(fresh, m.leases.until+m.fresh())
+		if !m.unreachable {
+			// Leases prove nothing at workers that refuse nobody, so a read that
+			// is still under way is waited for.
+			return shared
+		}
+		return max(shared, isolated)
 	}
 	return never
 }
@@ -241,6 +251,7 @@
 	case LogRead:
 		out = append(out, m.read(now, e)...)
 	case LogUnreachable:
+		m.unreachable = true
 	case AppendResult:
 	case LeaseAnswer:
 		out = append(out, m.answer(now, e)...)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -151,11 +151,11 @@
 }
 
 // Guards against an owner with a majority that goes on after a later claim when
-// its reads of the log take up to 8 s and workers grant leases to anyone. It is
-// listed in KNOWN-RED.txt.
+// its reads of the log take up to 8 s and workers grant leases to anyone. Seeds 7
+// and 43 failed while leases counted before a read had failed.
 func TestSlowReadsWithCarelessWorkers(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []int{7, 43} {
+	for seed := 1; seed <= 200; seed++ {
 		if s := runPlan(silentOwner(seed), broken{}); len(s.errs) > 0 {
 			t.Errorf("seed %d: %v", seed, s.errs)
 		}
