Ask for advice only through free lanes, most urgent step first

Now a question that is not short is made only when a lane can take it, in the order of the pass; room that steps before it are about to take does not count; one question names up to 100 workers while lanes are short; the workers asked about follow from the variance of eligibility instead of a factor of 2.2. One lane in six is left to short questions, one in three to questions under 0.4 s. The owner logs its load each second.

Ruled out: lack of room (75 % of processors in use at the crest with 400 tasks waiting), processor time of the owner (0.34 of 0.8 cores).

--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -34,6 +34,8 @@
 	// listEvery is how often the owner reads the workers' entries: a draining
 	// worker gets no new work after 2 s.
 	listEvery = 350 * time.Millisecond
+	// loadEvery is how often the owner logs how full the cell is.
+	loadEvery = time.Second
 	// farReach is the share of other data centres' workers that an owner must
 	// reach; a cut leaves none, failures of workers leave most.
 	farReach = 0.2
@@ -68,6 +70,7 @@
 	sequence  int64
 	lastFlush time.Duration
 	lastPlace time.Duration
+	lastLoad  time.Duration
 	poorSince time.Duration
 	budgets   map[string]*budget
 	// over are ended jobs whose submissions are to be dropped from the store.
@@ -164,6 +167,7 @@
 			c.apply(ctx, owner.Tick{})
 			c.checkReach()
 			c.dropOver(ctx)
+			c.logLoad()
 		case <-timer.C:
 		}
 		if c.resign != "" {
@@ -193,7 +197,7 @@
 		next = min(next, wait)
 	} else {
 		c.lastPlace = t
-		c.act(ctx, c.machine.Place(now()))
+		c.act(ctx, c.machine.Place(now(), c.lanes.room(t)))
 	}
 	c.lanes.send(ctx, t)
 	if wait := c.lastFlush + flushEvery - t; wait > 0 {
@@ -235,6 +239,19 @@
 	}
 }
 
+// logLoad writes how full the cell is, every loadEvery.
+func (c *control) logLoad() {
+	if boot()-c.lastLoad < loadEvery {
+		return
+	}
+	c.lastLoad = boot()
+	l := c.machine.Load()
+	lanes := c.lanes.room(c.lastLoad)
+	c.log.Info("load of the cell", "term", c.term, "usable_workers", l.Usable,
+		"cpu", l.Capacity.MilliCPU, "cpu_used", l.Used.MilliCPU, "memory", l.Capacity.MemoryMB, "memory_used", l.Used.MemoryMB,
+		"waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "free_lanes", lanes.Free, "free_lanes_long", lanes.FreeForLong)
+}
+
 // logAnswer writes a line about an answer of the advice service.
 func (c *control) logAnswer(a answered) {
 	q := a.question
--- a/internal/cell/node/lanes.go
+++ b/internal/cell/node/lanes.go
@@ -18,9 +18,10 @@
 // spreads them over all VMs: each is a lane.
 
 const (
-	// longQuestion is the time from which a question must leave lanes free for
-	// short ones: the tightest objective leaves 250 ms for all but the work.
-	longQuestion = 100 * time.Millisecond
+	// longQuestion is the time from which a question counts as long. The longest
+	// answers of a queue take 0.2 s where its objective is some seconds, and 0.7 s
+	// and more where it is ten.
+	longQuestion = 400 * time.Millisecond
 	// laneAhead is the work that may wait in a lane when another question joins.
 	laneAhead = 25 * time.Millisecond
 	// laneSlack is added to a question's time before it is given up.
@@ -33,6 +34,8 @@
 	askTries = 3
 	// lanesPerReserved lanes have one that long questions leave free.
 	lanesPerReserved = 3
+	// lanesPerShort lanes have one that only short questions take.
+	lanesPerShort = 6
 )
 
 // lane is a VM that asks the advice service.
@@ -43,7 +46,8 @@
 	// busyUntil is when the questions under way should be answered.
 	busyUntil time.Duration
 	under     int
-	long      int
+	// longest is the time of the longest question under way.
+	longest   time.Duration
 	restUntil time.Duration
 	heard     time.Duration
 	// self is the owner's own lane, which needs no greeting.
@@ -144,32 +148,57 @@
 	l.normal = rest
 }
 
-// pick returns the lane with the least work for a question, or nil.
-func (l *lanes) pick(q question, now time.Duration) *lane {
-	long := q.ask.Cost >= longQuestion
-	var best *lane
-	usable, withLong := 0, 0
+// usable reports whether a lane may be asked.
+func (ln *lane) usable(now time.Duration) bool {
+	return now >= ln.restUntil && (ln.self || now-ln.heard <= laneLost)
+}
+
+// takes reports whether a lane can take a question: a short one beside other
+// short ones that are almost answered, others alone.
+func (ln *lane) takes(cost, now time.Duration) bool {
+	if ln.under == 0 {
+		return true
+	}
+	return cost < owner.ShortQuestion && ln.longest < owner.ShortQuestion && ln.busyUntil <= now+laneAhead
+}
+
+// room says how many questions that are not short may be asked.
+func (l *lanes) room(now time.Duration) owner.AdviceLanes {
+	usable, idle, busy, long := 0, 0, 0, 0
 	for _, ln := range l.all {
-		if now < ln.restUntil || !ln.self && now-ln.heard > laneLost {
+		if !ln.usable(now) {
 			continue
 		}
 		usable++
-		if ln.long > 0 {
-			withLong++
+		if ln.under == 0 {
+			idle++
 		}
-		if ln.under > 0 && ln.busyUntil > now+laneAhead {
-			continue
+		if ln.longest >= owner.ShortQuestion {
+			busy++
 		}
-		if ln.long > 0 || long && ln.under > 0 {
+		if ln.longest >= longQuestion {
+			long++
+		}
+	}
+	free := min(idle, usable-usable/lanesPerShort-busy) - len(l.normal)
+	return owner.AdviceLanes{
+		Free:        max(0, free),
+		FreeForLong: max(0, min(free, usable-usable/lanesPerReserved-long)),
+		Long:        longQuestion,
+	}
+}
+
+// pick returns the lane with the least work for a question, or nil.
+func (l *lanes) pick(q question, now time.Duration) *lane {
+	var best *lane
+	for _, ln := range l.all {
+		if !ln.usable(now) || !ln.takes(q.ask.Cost, now) {
 			continue
 		}
 		if best == nil || ln.busyUntil < best.busyUntil {
 			best = ln
 		}
 	}
-	if long && withLong >= usable-usable/lanesPerReserved {
-		return nil
-	}
 	return best
 }
 
@@ -178,9 +207,7 @@
 	q.tries++
 	q.sent = now
 	ln.under++
-	if q.ask.Cost >= longQuestion {
-		ln.long++
-	}
+	ln.longest = max(ln.longest, q.ask.Cost)
 	ln.busyUntil = max(ln.busyUntil, now) + q.ask.Cost
 	timeout := ln.busyUntil - now + laneSlack
 	go func() {
@@ -195,11 +222,9 @@
 // is asked again through another lane.
 func (l *lanes) answer(a answered, now time.Duration) (owner.Advised, bool) {
 	a.lane.under--
-	if a.question.ask.Cost >= longQuestion {
-		a.lane.long--
-	}
 	if a.lane.under == 0 {
 		a.lane.busyUntil = now
+		a.lane.longest = 0
 	}
 	if a.err != nil && !errors.Is(a.err, context.Canceled) {
 		a.lane.restUntil = now + laneRest
--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"sort"
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
 )
 
 // adviceState is what is known about the workers that may run a step.
@@ -45,17 +47,67 @@
 	ticketMargin = 60 * time.Millisecond
 	// maxAsked bounds the workers of one round of questions.
 	maxAsked = 240
-	// askSurplus times the needed room is asked for, since eligibility is a
-	// matter of chance and room may be taken meanwhile.
-	askSurplus = 1.6
-	// gangSurplus is the same for gangs, which need all their room at once:
-	// another round costs as long as its answer.
-	gangSurplus = 2.2
+	// askSurplus times the needed room is asked for, since room may be taken
+	// meanwhile.
+	askSurplus = 1.15
+	// askDeviations of the room of eligible workers are asked for on top, since
+	// eligibility is a matter of chance: the room asked for is too little once in
+	// 20 questions.
+	askDeviations = 1.6
 	// questionSize splits large questions over several lanes: an answer about 30
 	// workers is what objectives allow for.
 	questionSize = 30
+	// largestQuestion is the most workers that one question may name. Questions
+	// are that large while lanes are short, since most of an answer's time does
+	// not depend on their number.
+	largestQuestion = 100
+	// ShortQuestion is the time below which questions are asked without regard to
+	// free lanes: the tightest objective leaves 250 ms for all but the work.
+	ShortQuestion = 100 * time.Millisecond
 )
 
+// AdviceLanes says how many questions to the advice service may be asked now.
+type AdviceLanes struct {
+	// Free is the number of lanes that can take a question.
+	Free int
+	// FreeForLong is how many of them long questions may take; the others are
+	// left to shorter ones.
+	FreeForLong int
+	// Long is the time from which a question is long.
+	Long time.Duration
+}
+
+// take reports whether a question of a length may be asked, and counts it.
+func (l *AdviceLanes) take(cost time.Duration) bool {
+	if !l.free(cost) {
+		return false
+	}
+	l.Free--
+	if cost >= l.Long {
+		l.FreeForLong--
+	}
+	return true
+}
+
+// free reports whether a question of a length may be asked.
+func (l *AdviceLanes) free(cost time.Duration) bool {
+	if cost >= l.Long {
+		return l.Free > 0 && l.FreeForLong > 0
+	}
+	return l.Free > 0
+}
+
+// claims is what the steps before the current one in a pass are about to take.
+type claims struct{ need structs.Resources }
+
+// add counts a step whose questions are under way.
+func (c *claims) add(s *step) {
+	if s.advice.asking == 0 {
+		return
+	}
+	c.need = c.need.Add(s.def.Charge().Times(int64(len(s.task) - s.done - s.active)))
+}
+
 // find returns the ticket for a worker, or nil.
 func (a *adviceState) find(w *worker) *ticket {
 	for i := range a.tickets {
@@ -153,6 +205,10 @@
 	if a.asking > 0 || m.now.Mono < a.next || need == 0 {
 		return
 	}
+	limited := q.Advice.Cost(questionSize) >= ShortQuestion
+	if limited && !m.lanes.free(q.Advice.Cost(1)) {
+		return
+	}
 	names, expected := m.candidates(s, q, need)
 	// A gang that has too little room in sight waits, unless more workers than
 	// one round may name have room: it learns by rounds then which are eligible.
@@ -163,14 +219,18 @@
 		return
 	}
 	m.decide(s.id.String(), "advice is asked", "workers", len(names), "expected_room", int(expected*10)/10, "need", need)
-	for part := range slices.Chunk(names, questionSize) {
+	size := questionSize
+	if limited && m.lanes.Free < 2*(len(names)/questionSize+1) {
+		size = largestQuestion
+	}
+	for part := range slices.Chunk(names, size) {
+		cost := q.Advice.Cost(len(part))
+		if limited && !m.lanes.take(cost) {
+			// The rest is asked about once these are answered.
+			break
+		}
 		a.asking++
-		m.emit(Ask{
-			Step:    s.id,
-			Workers: part,
-			Cost:    q.Advice.Cost(len(part)),
-			Urgent:  q.Priority == 0,
-		})
+		m.emit(Ask{Step: s.id, Workers: part, Cost: cost, Urgent: q.Priority == 0})
 	}
 }
 
@@ -180,10 +240,13 @@
 	share := m.stats(s.job.def.Queue.Name).eligible
 	type candidate struct {
 		worker *worker
-		room   float64
-		key    float64
+		// room is the expected room, variance that of chance.
+		room     float64
+		variance float64
+		key      float64
 	}
 	var all []candidate
+	total := 0
 	for _, w := range m.order {
 		if !m.suits(w, s, q) || !s.advice.mayRun(w.info.ID) {
 			continue
@@ -192,30 +255,51 @@
 		if n == 0 {
 			continue
 		}
+		total += n
 		room := float64(min(n, need))
-		key := room + m.rand.Float64()
+		c := candidate{worker: w, room: room, key: room + m.rand.Float64()}
 		if s.advice.eligible[w.info.ID] {
-			key += 1000
+			c.key += 1000
 		} else {
-			room *= share
+			c.room *= share
+			c.variance = share * (1 - share) * room * room
 		}
 		if w.health.suspect(m.now.Mono) {
-			key -= 500
+			c.key -= 500
 		}
-		all = append(all, candidate{worker: w, room: room, key: key})
+		all = append(all, c)
 	}
 	sort.Slice(all, func(i, k int) bool { return all[i].key > all[k].key })
-	surplus := askSurplus
-	if s.def.Gang {
-		surplus = gangSurplus
-	}
-	want := float64(need)*surplus + 1
+	left := m.claimed.left(s, total)
+	want := float64(need)*askSurplus + 1
+	variance := 0.0
 	for _, c := range all {
-		if expected >= want || len(names) >= maxAsked {
+		if expected-askDeviations*math.Sqrt(variance) >= want || len(names) >= maxAsked {
 			break
 		}
 		names = append(names, c.worker.info.ID)
-		expected += c.room
+		expected += c.room * left
+		variance += c.variance * left
 	}
 	return names, expected
 }
+
+// left returns the share of the room for a step that the claims leave; total is
+// that room in tasks of the step.
+func (c *claims) left(s *step, total int) float64 {
+	if total == 0 {
+		return 1
+	}
+	need := s.def.Charge()
+	taken := 0.0
+	for _, d := range [][2]int64{
+		{c.need.MilliCPU, need.MilliCPU},
+		{c.need.MemoryMB, need.MemoryMB},
+		{c.need.Accelerators, need.Accelerators},
+	} {
+		if d[1] > 0 {
+			taken = max(taken, float64(d[0])/float64(d[1]))
+		}
+	}
+	return max(0, 1-taken/float64(total))
+}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
 )
 
 // Options are the owner's settings.
@@ -75,7 +76,10 @@
 	batch    int
 	batches  map[int]*batch
 	needPass bool
-	actions  []Action
+	// lanes and claimed belong to the pass under way.
+	lanes   AdviceLanes
+	claimed claims
+	actions []Action
 }
 
 // New returns an owner that has just begun.
@@ -145,11 +149,13 @@
 	m.emit(Decide{Subject: subject, Message: message, Details: details})
 }
 
-// Place places tasks if anything changed since the last pass.
-func (m *Machine) Place(now Time) []Action {
+// Place places tasks if anything changed since the last pass. The lanes say how
+// many questions may be asked by it.
+func (m *Machine) Place(now Time, lanes AdviceLanes) []Action {
 	m.now = now
 	if m.needPass {
 		m.needPass = false
+		m.lanes = lanes
 		m.pass()
 	}
 	return m.take()
@@ -197,6 +203,35 @@
 	return j.visible, true
 }
 
+// Load is how full the cell is.
+type Load struct {
+	// Usable workers may get new tasks; Capacity and Used are theirs.
+	Usable   int
+	Capacity structs.Resources
+	Used     structs.Resources
+	// WaitingSteps have tasks to start, of which WaitingTasks.
+	WaitingSteps int
+	WaitingTasks int
+}
+
+// Load returns how full the cell is.
+func (m *Machine) Load() Load {
+	var l Load
+	for _, w := range m.order {
+		if !m.usable(w) {
+			continue
+		}
+		l.Usable++
+		l.Capacity = l.Capacity.Add(w.info.Capacity)
+		l.Used = l.Used.Add(w.used)
+	}
+	l.WaitingSteps = len(m.waiting)
+	for _, s := range m.waiting {
+		l.WaitingTasks += len(s.task) - s.done - s.active
+	}
+	return l
+}
+
 // Reach counts workers.
 type Reach struct {
 	Listed    int
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -19,6 +19,9 @@
 	ended   []cell.Ended
 }
 
+// manyLanes never limit questions.
+var manyLanes = AdviceLanes{Free: 1000, FreeForLong: 1000, Long: time.Second}
+
 func newFixture(t *testing.T, capacity int64) *fixture {
 	t.Helper()
 	f := &fixture{t: t}
@@ -43,7 +46,7 @@
 // settle places tasks and stores what is to be recorded.
 func (f *fixture) settle() {
 	f.t.Helper()
-	f.actions = append(f.actions, f.m.Place(f.time())...)
+	f.actions = append(f.actions, f.m.Place(f.time(), manyLanes)...)
 	_, number, err := f.m.TakeBatch()
 	if err != nil {
 		f.t.Fatal(err)
@@ -88,7 +91,7 @@
 	is := is.New(t)
 	f := newFixture(t, 1000)
 	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500))})
-	f.actions = append(f.actions, f.m.Place(f.time())...)
+	f.actions = append(f.actions, f.m.Place(f.time(), manyLanes)...)
 	is.Equal(len(taken[SendStart](f)), 0)
 	f.settle()
 	is.Equal(len(taken[SendStart](f)), 1)
@@ -260,7 +263,7 @@
 	f.m.stats("q").eligible = 0.3
 	f.apply(JobSubmitted{Job: newJob("j", gang)})
 	f.forget()
-	f.actions = append(f.actions, f.m.Place(f.time())...)
+	f.actions = append(f.actions, f.m.Place(f.time(), manyLanes)...)
 	asked := 0
 	for _, a := range taken[Ask](f) {
 		is.True(len(a.Workers) <= questionSize)
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -16,8 +16,10 @@
 		steps = append(steps, m.rank(s))
 	}
 	slices.SortFunc(steps, ranked.compare)
+	m.claimed = claims{}
 	for _, r := range steps {
 		m.placeStep(r.step, r.queue)
+		m.claimed.add(r.step)
 	}
 }
 
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -245,7 +245,7 @@
 		o.apply(StoreReached{})
 	}
 	o.apply(Tick{})
-	o.act(o.machine.Place(o.sim.time()))
+	o.act(o.machine.Place(o.sim.time(), manyLanes))
 	o.flush()
 	o.sim.at(20*time.Millisecond, o.tick)
 }
