Append submissions through the owner; hand the cell to a chosen VM

From second 7 to 13 no submission was accepted. - A VM that had claimed and still read the state answered greetings as if its beats failed, so that others claimed after 0.26 s: three terms within 0.8 s, after which the larger VMs left claims to the small ones. - After a resignation the last answer of the former owner counted for 0.55 s, and each VM of a rolling restart could be the next owner.

Changes: submissions go to the owner, which appends those of all VMs one batch at a time; a VM appends directly when the owner does not answer or has not appended. A claimant counts as well from its claim on. An owner that stops asks the VM that started last to claim at once.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -97,6 +97,8 @@
 	suspect chan string
 	// yieldUntil keeps a VM that resigned from claiming at once.
 	yieldUntil time.Duration
+	// chosen is the instance of an owner that resigned in favour of this VM.
+	chosen atomic.Pointer[string]
 }
 
 // New returns an election that has read nothing.
@@ -113,6 +115,19 @@
 	}
 }
 
+// Succeed says that an owner has resigned in favour of this VM, which then claims
+// without leaving time to others.
+func (e *Election) Succeed(instance string) {
+	e.chosen.Store(&instance)
+	e.Suspect(instance)
+}
+
+// isChosen reports whether the last owner resigned in favour of this VM.
+func (e *Election) isChosen() bool {
+	instance := e.chosen.Load()
+	return instance != nil && e.last.Resigned && e.last.Instance == *instance
+}
+
 // Next returns the offset at which the topic ended last.
 func (e *Election) Next() int64 { return e.nextSeen.Load() }
 
@@ -142,7 +157,7 @@
 		case err != nil:
 			e.pause(ctx, retryPause)
 			continue
-		case !gone || e.opts.Now() < e.yieldUntil:
+		case !gone || e.opts.Now() < e.yieldUntil && !e.isChosen():
 			continue
 		}
 		if free, err := e.letOthers(ctx); err != nil || !free {
@@ -164,8 +179,11 @@
 // letOthers leaves the claim to VMs with less delay, and reports whether none of
 // them has claimed.
 func (e *Election) letOthers(ctx context.Context) (free bool, err error) {
-	e.pause(ctx, e.opts.Delay)
 	instance := e.last.Instance
+	if e.isChosen() {
+		return true, nil
+	}
+	e.pause(ctx, e.opts.Delay)
 	return e.confirm(ctx, instance)
 }
 
@@ -306,7 +324,9 @@
 	switch {
 	case err == nil:
 		e.next = end
+		e.nextSeen.Store(end)
 		e.last = rec
+		e.opts.Seen(rec)
 		e.opts.Log("claimed the cell", "term", rec.Term, "offset", end)
 		return rec.Term, true, nil
 	case errors.As(err, &conflict):
@@ -330,6 +350,7 @@
 	e.next = batch.Next
 	won := e.last == rec
 	if won {
+		e.nextSeen.Store(e.next)
 		e.opts.Log("claimed the cell", "term", rec.Term, "answer", "lost")
 	}
 	return rec.Term, won, nil
--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -193,3 +193,23 @@
 	is.True(!gone)
 	is.Equal(b.next, int64(9))
 }
+
+// TestChosenSuccessorClaimsAtOnce guards the length of a hand-over: the VM that
+// the owner chose leaves no time to others, also if it has resigned itself lately.
+func TestChosenSuccessorClaimsAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	store := &cellstore.Store{}
+	a := loaded(t, store, "a")
+	_, _, err := a.claim(ctx)
+	is.NoErr(err)
+	is.NoErr(a.Resign(ctx))
+	b := newElection(store, "b")
+	b.opts.Delay = time.Hour
+	b.yieldUntil = time.Hour
+	b.Succeed("a-1")
+	term, err := b.Campaign(ctx)
+	is.NoErr(err)
+	is.Equal(term, int64(2))
+}
--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -7,24 +7,26 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
-
 	"gypsumwinch/internal/cell"
 )
 
 const (
 	// appendTry bounds one try of an append. The slowest store seen answers after
-	// 0.35 s; calls that go unanswered are made through other VMs sooner.
-	appendTry = 900 * time.Millisecond
+	// 0.4 s, and a submission may wait for the batch before it.
+	appendTry = 1500 * time.Millisecond
 	// tryPause is the pause between tries.
 	tryPause = 20 * time.Millisecond
-	// downAfter is how long an append may go unanswered before the store counts as
-	// down for this VM and new submissions are not sent.
+	// downAfter is how long an append may go unanswered, beside what a slow store
+	// takes, before the store counts as down for this VM and new submissions are
+	// not sent.
 	downAfter = 500 * time.Millisecond
-	// commitBatch bounds the records of one append.
-	commitBatch = 64
-	// commitQueue bounds the records that wait.
-	commitQueue = 512
+	// commitBatch bounds the submissions of one append: in the slowest store seen
+	// it must take those of half a second.
+	commitBatch = 256
+	// commitBytes bounds the records of one append; the store takes 2 MB.
+	commitBytes = 1 << 20
+	// commitQueue bounds the submissions that wait.
+	commitQueue = 1024
 )
 
 // submission are records that wait to be appended to topic jobs.
@@ -34,6 +36,15 @@
 	done    chan error
 }
 
+// size returns the bytes of the records.
+func (s submission) size() int {
+	size := 0
+	for _, r := range s.records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // errStoreDown is the cause of submissions that were not sent.
 var errStoreDown = errors.New("the store does not answer this VM")
 
@@ -41,17 +52,20 @@
 // is without an answer no other is sent, so that the records that wait can be
 // answered as not run. Repetitions are harmless, since the records are the same.
 type committer struct {
-	store cell.Store
-	log   hclog.Logger
-	queue chan submission
+	// store appends the records of a batch.
+	store func(ctx context.Context, records []cell.KeyValue) error
+	// latency is the latest latency of the store.
+	latency func() time.Duration
+	log     hclog.Logger
+	queue   chan submission
 	// downSince is when the store was found down, in boot time; 0 if it is not.
 	downSince atomic.Int64
 	// readAt tells when the store was last read.
 	readAt func() time.Duration
 }
 
-func newCommitter(store cell.Store, log hclog.Logger, readAt func() time.Duration) *committer {
-	return &committer{store: store, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
+func newCommitter(store func(context.Context, []cell.KeyValue) error, latency func() time.Duration, log hclog.Logger, readAt func() time.Duration) *committer {
+	return &committer{store: store, latency: latency, log: log, queue: make(chan submission, commitQueue), readAt: readAt}
 }
 
 // down reports whether the store counts as down. A read that succeeded since
@@ -71,7 +85,7 @@
 	select {
 	case c.queue <- s:
 	default:
-		return &cell.NotRunError{After: cell.ReturnSoon, Cause: eris.New("too many submissions wait")}
+		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errTooMany}
 	}
 	return <-s.done
 }
@@ -91,10 +105,12 @@
 // collect takes the records that wait already.
 func (c *committer) collect(first submission) []submission {
 	batch := []submission{first}
-	for len(batch) < commitBatch {
+	size := first.size()
+	for len(batch) < commitBatch && size < commitBytes {
 		select {
 		case s := <-c.queue:
 			batch = append(batch, s)
+			size += s.size()
 		default:
 			return batch
 		}
@@ -105,7 +121,7 @@
 // commit appends a batch, again until it is answered or no caller waits.
 func (c *committer) commit(ctx context.Context, batch []submission) {
 	// The store counts as down as soon as the batch has waited for long.
-	timer := time.AfterFunc(downAfter, func() {
+	timer := time.AfterFunc(downAfter+ownerLatencies*c.latency(), func() {
 		c.markDown(errStoreDown)
 		c.refuseWaiting()
 	})
@@ -140,7 +156,7 @@
 func (c *committer) once(ctx context.Context, batch []submission) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTry)
 	defer cancel()
-	_, err := c.store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: recordsOf(batch), At: -1})
+	err := c.store(ctx, recordsOf(batch))
 	if err == nil {
 		c.downSince.Store(0)
 	}
--- a/internal/cell/node/committer_test.go
+++ b/internal/cell/node/committer_test.go
@@ -18,7 +18,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	c := newCommitter(store, hclog.NewNullLogger(), func() time.Duration { return 0 })
+	commit := func(ctx context.Context, records []cell.KeyValue) error {
+		_, err := store.Append(ctx, cell.Append{Topic: cell.TopicJobs, Records: records, At: -1})
+		return err
+	}
+	c := newCommitter(commit, func() time.Duration { return 0 }, hclog.NewNullLogger(), func() time.Duration { return 0 })
 	go c.run(ctx)
 	return c
 }
--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -31,6 +31,9 @@
 	// appendTimeout bounds one append of progress. The slowest store seen
 	// answers after 0.35 s.
 	appendTimeout = 700 * time.Millisecond
+	// progressTry bounds one try of an append of progress, both ways of the store
+	// path included.
+	progressTry = 900 * time.Millisecond
 	// listEvery is how often the owner reads the workers' entries: a draining
 	// worker gets no new work after 2 s.
 	listEvery = 350 * time.Millisecond
@@ -47,6 +50,11 @@
 type greeting struct {
 	addr   string
 	client cellpb.Cell
+	at     time.Duration
+	// follows is true for a VM that knows the states of all jobs.
+	follows bool
+	// age is how long its process has run.
+	age time.Duration
 }
 
 // control is the control loop of one ownership. It owns the machine; calls run
@@ -79,6 +87,10 @@
 	lastDrop time.Duration
 	dropped  chan dropResult
 	resign   string
+	// standbys are the last greetings of VMs that could take over, by address.
+	standbys map[string]greeting
+	// successor is the VM that is to claim when this one stops.
+	successor cellpb.Cell
 }
 
 // outcome is the result of writing a batch.
@@ -92,16 +104,17 @@
 
 func newControl(n *Node, term int64) *control {
 	c := &control{
-		node:    n,
-		log:     n.log,
-		term:    term,
-		events:  make(chan owner.Event, eventQueue),
-		answers: make(chan answered, eventQueue),
-		hellos:  make(chan greeting, 64),
-		stored:  make(chan outcome, 1),
-		ended:   make(chan struct{}),
-		dropped: make(chan dropResult, 1),
-		budgets: map[string]*budget{},
+		node:     n,
+		log:      n.log,
+		term:     term,
+		events:   make(chan owner.Event, eventQueue),
+		answers:  make(chan answered, eventQueue),
+		hellos:   make(chan greeting, 64),
+		stored:   make(chan outcome, 1),
+		ended:    make(chan struct{}),
+		dropped:  make(chan dropResult, 1),
+		budgets:  map[string]*budget{},
+		standbys: map[string]greeting{},
 		machine: owner.New(owner.Options{
 			Term:        term,
 			LeaseLimit:  n.settings.LeaseLimit,
@@ -141,6 +154,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.successor = chooseSuccessor(c.standbys, boot())
 			return ctx.Err()
 		case ev := <-c.events:
 			c.apply(ctx, ev)
@@ -163,6 +177,7 @@
 			c.over = append(c.over, d.again...)
 		case g := <-c.hellos:
 			c.lanes.hello(g.addr, g.client, boot())
+			c.noteStandby(g)
 		case <-ticker.C:
 			c.apply(ctx, owner.Tick{})
 			c.checkReach()
@@ -333,7 +348,7 @@
 // repetition harmless.
 func (c *control) write(ctx context.Context, records []cell.KeyValue, number int, sequence int64) {
 	for try := 0; ctx.Err() == nil; try++ {
-		err := c.appendOnce(ctx, records, sequence, appendTry)
+		err := c.appendOnce(ctx, records, sequence, progressTry)
 		if err == nil {
 			c.stored <- outcome{batch: number}
 			return
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -92,7 +92,7 @@
 	n.metrics.requests.WithLabelValues(operation, outcome).Inc()
 }
 
-// appendJobs appends a record to topic jobs and tells the owner of it.
+// appendJobs appends a record to topic jobs and has the owner know of it.
 func (n *Node) appendJobs(ctx context.Context, kv cell.KeyValue) error {
 	records := []cell.KeyValue{kv}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -104,9 +104,6 @@
 		return err
 	}
 	n.takeJobs(records)
-	if p := n.ownerPeer(); p != nil {
-		go n.notify(p, records)
-	}
 	return nil
 }
 
--- a/internal/cell/node/greet.go
+++ b/internal/cell/node/greet.go
@@ -33,9 +33,11 @@
 
 // heardOwner is the owner's last answer.
 type heardOwner struct {
-	at     time.Duration
-	well   bool
-	offset int64
+	at time.Duration
+	// instance is the process that answered.
+	instance string
+	well     bool
+	offset   int64
 	// silent is set when a later greeting was not answered.
 	silent bool
 }
@@ -53,7 +55,8 @@
 // ownerAnswers returns the client of an owner that answered lately.
 func (n *Node) ownerAnswers() cellpb.Cell {
 	h := n.heard.Load()
-	if h == nil || h.silent || boot()-h.at > heardFresh {
+	r := n.owner.Load()
+	if h == nil || r == nil || r.Instance != h.instance || h.silent || boot()-h.at > heardFresh {
 		return nil
 	}
 	return n.ownerPeer()
@@ -65,13 +68,14 @@
 	if h == nil {
 		return nil
 	}
-	return &heardOwner{at: h.at, offset: h.offset, silent: true}
+	return &heardOwner{at: h.at, instance: h.instance, offset: h.offset, silent: true}
 }
 
 // alive tells the election what the owner said of itself.
 func (n *Node) alive() election.Heard {
 	h := n.heard.Load()
-	if h == nil {
+	r := n.owner.Load()
+	if h == nil || r == nil || r.Resigned || r.Instance != h.instance {
 		return election.Heard{}
 	}
 	age := boot() - h.at
@@ -155,7 +159,7 @@
 	if resp.Owner == nil || resp.Owner.Instance != resp.Instance {
 		return false
 	}
-	n.heard.Store(&heardOwner{at: boot(), well: resp.Well, offset: resp.Offset})
+	n.heard.Store(&heardOwner{at: boot(), instance: resp.Instance, well: resp.Well, offset: resp.Offset})
 	return true
 }
 
@@ -164,7 +168,13 @@
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
 	wanted := !n.follows() && boot()-time.Duration(n.pendingAt.Load()) > pendingEvery
-	resp, err := p.Hello(ctx, &cellpb.HelloRequest{Name: n.settings.Name, Addr: n.settings.Peers, WantPending: wanted})
+	resp, err := p.Hello(ctx, &cellpb.HelloRequest{
+		Name:        n.settings.Name,
+		Addr:        n.settings.Peers,
+		WantPending: wanted,
+		Follows:     standby(n.settings) && n.follows() && !n.draining.Load(),
+		AgeMs:       (boot() - n.began).Milliseconds(),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -84,6 +84,11 @@
 	heard atomic.Pointer[heardOwner]
 	// beatAt is when the store accepted this owner's last beat, in boot time.
 	beatAt atomic.Int64
+	// holding is true while this VM has the newest claim, also before it has read
+	// the state.
+	holding atomic.Bool
+	// began is when the process began, in boot time.
+	began time.Duration
 	// unheardAt is when the owner last read a submission that it had not heard
 	// of, in boot time.
 	unheardAt atomic.Int64
@@ -112,6 +117,7 @@
 		log:      newLogger(out, settings.Name),
 		mirror:   newMirror(),
 		instance: ulid.Make().String(),
+		began:    boot(),
 		peers:    map[string]cellpb.Cell{},
 		http:     peerTransport(),
 	}
@@ -124,7 +130,7 @@
 	n.jobs = n.newTail(cell.TopicJobs, n.readJobs)
 	n.progress = n.newTail(cell.TopicProgress, n.takeProgress)
 	n.configs = n.newTail(cell.TopicConfig, n.takeConfigs)
-	n.committer = newCommitter(n.store, n.log, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
+	n.committer = newCommitter(n.commit, n.path.lastLatency, n.log, func() time.Duration { return time.Duration(n.jobs.readAt.Load()) })
 	n.election = election.New(n.store, election.Options{
 		Node:     settings.Name,
 		Addr:     settings.Peers,
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
 	"gypsumwinch/internal/cell/owner"
 )
@@ -43,6 +44,9 @@
 	held, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := boot()
+	n.beatAt.Store(int64(began))
+	n.holding.Store(true)
+	defer n.holding.Store(false)
 	c := newControl(n, term)
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -58,15 +62,17 @@
 		err = c.run(held)
 	}
 	n.setControl(nil)
+	n.holding.Store(false)
 	n.metrics.owning.Set(0)
 	cancel()
 	wg.Wait()
 	n.log.Info("ownership has ended", "term", term, "reason", err.Error())
-	n.resign(ctx, err)
+	n.resign(ctx, err, c.successor)
 }
 
-// resign tells the others that they may claim, if this VM leaves by itself.
-func (n *Node) resign(ctx context.Context, reason error) {
+// resign tells the others that they may claim, if this VM leaves by itself. A
+// VM that stops asks its successor to claim at once.
+func (n *Node) resign(ctx context.Context, reason error, successor cellpb.Cell) {
 	if ctx.Err() == nil && !errors.Is(reason, errResigned) {
 		return
 	}
@@ -74,6 +80,13 @@
 	defer cancel()
 	if err := n.election.Resign(resignCtx); err != nil {
 		n.log.Info("resignation is not recorded", "error", err.Error())
+		return
+	}
+	if ctx.Err() == nil || successor == nil {
+		return
+	}
+	if _, err := successor.Succeed(resignCtx, &cellpb.SucceedRequest{Instance: n.instance}); err != nil {
+		n.log.Info("the successor does not answer", "error", err.Error())
 	}
 }
 
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -57,6 +57,26 @@
 	return s.node.path.serveNewest(ctx, req), nil
 }
 
+// Submit implements cellpb.Cell.
+func (s *rpcServer) Submit(ctx context.Context, req *cellpb.SubmitRequest) (*cellpb.SubmitResponse, error) {
+	if s.node.owning() == nil {
+		return &cellpb.SubmitResponse{Outcome: cellpb.Outcome_NOT_DONE}, nil
+	}
+	records := fromWire(req.Records)
+	if err := s.node.committer.append(ctx, records); err != nil {
+		return &cellpb.SubmitResponse{Outcome: outcomeOfSubmission(err)}, nil
+	}
+	s.node.takeJobs(records)
+	return &cellpb.SubmitResponse{Outcome: cellpb.Outcome_DONE}, nil
+}
+
+// Succeed implements cellpb.Cell.
+func (s *rpcServer) Succeed(_ context.Context, req *cellpb.SucceedRequest) (*cellpb.SucceedResponse, error) {
+	s.node.log.Info("the owner resigns in favour of this VM", "instance", req.Instance)
+	s.node.election.Succeed(req.Instance)
+	return &cellpb.SucceedResponse{}, nil
+}
+
 // Notify implements cellpb.Cell.
 func (s *rpcServer) Notify(_ context.Context, req *cellpb.NotifyRequest) (*cellpb.NotifyResponse, error) {
 	s.node.takeJobs(fromWire(req.Records))
@@ -92,14 +112,24 @@
 	if req.WantPending && n.follows() {
 		resp.Pending = n.mirror.pendingByQueue()
 	}
+	if n.holding.Load() {
+		// Also while the state is read: a claim then would only begin that anew.
+		resp.Well = n.beatsAccepted()
+		resp.Offset = n.election.Next()
+	}
 	c := n.owning()
 	if c == nil {
 		return resp, nil
 	}
-	resp.Well = n.beatsAccepted()
-	resp.Offset = n.election.Next()
+	g := greeting{
+		addr:    req.Addr,
+		client:  n.peer(req.Addr),
+		at:      boot(),
+		follows: req.Follows,
+		age:     time.Duration(req.AgeMs) * time.Millisecond,
+	}
 	select {
-	case c.hellos <- greeting{addr: req.Addr, client: n.peer(req.Addr)}:
+	case c.hellos <- g:
 	case <-c.ended:
 	case <-ctx.Done():
 	}
