Keep the cell at the end of an outage of the store

A failed beat is now repeated after 0.1 s, an append is given 0.35 s beside the latency of the store, and an owner whose beats fail has the full 0.6 s. downAfter is 0.85 s, which a store that has just turned slow needs for two answers (0.4 s each at 80 times).

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -31,9 +31,10 @@
 	latencyFactor = 3
 	// watchEvery is how often a VM looks whether the owner is well.
 	watchEvery = 150 * time.Millisecond
-	// callTimeout bounds one call to the store. The slowest store seen answers
-	// after 0.35 s.
-	callTimeout = 600 * time.Millisecond
+	// appendTimeout bounds one append beside what a slow store takes: an owner's
+	// beat must be repeated within ClaimAfter of the end of an outage in which
+	// appends went unanswered.
+	appendTimeout = 350 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = 100 * time.Millisecond
 	// yieldFor is how long a VM that resigned leaves claims to others.
@@ -78,11 +79,8 @@
 	Well bool
 	// Offset is where the topic ended after its last beat.
 	Offset int64
-	// Age is how long ago the owner answered.
+	// Age is how long ago the owner answered that it is well.
 	Age time.Duration
-	// Failing is true if the owner answered lately and the store does not accept
-	// its beats.
-	Failing bool
 }
 
 // Election follows the owner's record and claims when there is no owner.
@@ -211,11 +209,7 @@
 		return e.rest(ctx, watchEvery)
 	}
 	silent := ClaimAfter
-	switch {
-	case heard.Failing:
-		// The owner says itself that its beats fail.
-		silent = BeatEvery
-	case heard.Offset > 0 && heard.Offset >= e.next:
+	if heard.Offset > 0 && heard.Offset >= e.next {
 		// No beat was seen since the owner answered last.
 		e.next = heard.Offset
 		silent = max(ClaimAfter-heard.Age, BeatEvery)
@@ -362,7 +356,7 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "encode owner's record")
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout+latencyFactor*e.opts.Latency())
 	defer cancel()
 	return e.store.Append(ctx, cell.Append{
 		Topic:   cell.TopicOwner,
@@ -374,16 +368,20 @@
 // ErrDeposed means that another VM owns the cell.
 var ErrDeposed = errors.New("another VM owns the cell")
 
-// Hold writes beats until the context ends or another VM has claimed.
+// Hold writes beats until the context ends or another VM has claimed. A beat that
+// failed is repeated soon, so that the others see one before they may claim when
+// an outage of the store is over.
 func (e *Election) Hold(ctx context.Context) error {
+	next := BeatEvery
 	for ctx.Err() == nil {
-		e.pause(ctx, BeatEvery)
+		e.pause(ctx, next)
+		next = BeatEvery
 		if err := e.beat(ctx); err != nil {
 			if errors.Is(err, ErrDeposed) {
 				return err
 			}
 			e.opts.Log("beat failed", "error", err.Error())
-			e.pause(ctx, retryPause)
+			next = retryPause
 		}
 	}
 	return ctx.Err()
--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -213,3 +213,36 @@
 	is.NoErr(err)
 	is.Equal(term, int64(2))
 }
+
+// TestOwnerKeepsTheCellAfterAnOutage guards against a needless takeover at the end
+// of an outage of the store: the owner's beat must come before the others claim.
+func TestOwnerKeepsTheCellAfterAnOutage(t *testing.T) {
+	for name, fault := range map[string]cellstore.Fault{"refused": cellstore.Refuse, "silent": cellstore.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			store := &cellstore.Store{}
+			a := loaded(t, store, "a")
+			_, _, err := a.claim(ctx)
+			is.NoErr(err)
+			beaten := make(chan struct{}, 1)
+			a.opts.Beaten = func() {
+				select {
+				case beaten <- struct{}{}:
+				default:
+				}
+			}
+			store.SetFault(func(string, cell.Topic) cellstore.Fault { return fault })
+			go func() { _ = a.Hold(ctx) }()
+			time.Sleep(2 * ClaimAfter)
+			store.SetFault(nil)
+			begin := time.Now()
+			<-beaten
+			t.Logf("beat %v after the outage", time.Since(begin))
+			// The bound is that of the periods: a call under way, then the pause.
+			is.True(appendTimeout+retryPause < ClaimAfter)
+		})
+	}
+}
--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -18,8 +18,9 @@
 	tryPause = 20 * time.Millisecond
 	// downAfter is how long an append may go unanswered, beside what a slow store
 	// takes, before the store counts as down for this VM and new submissions are
-	// not sent.
-	downAfter = 500 * time.Millisecond
+	// not sent. A store that has just turned slow takes two answers of 0.4 s, one
+	// for the batch before.
+	downAfter = 850 * time.Millisecond
 	// commitBatch bounds the submissions of one append: in the slowest store seen
 	// it must take those of half a second.
 	commitBatch = 256
--- a/internal/cell/node/greet.go
+++ b/internal/cell/node/greet.go
@@ -80,7 +80,11 @@
 	}
 	age := boot() - h.at
 	fresh := age <= heardFresh && !h.silent
-	return election.Heard{Well: h.well && fresh, Failing: !h.well && fresh, Offset: h.offset, Age: age}
+	if fresh && !h.well {
+		// It lives and repeats its beats: its age says nothing about them.
+		return election.Heard{}
+	}
+	return election.Heard{Well: h.well && fresh, Offset: h.offset, Age: age}
 }
 
 // meet remembers a VM and reports whether it is new.
