Keep gangs from asking about the same workers

Claims are now kept per worker, as the share of the room that the step needs there on average. Steps that may start in part are asked for without the allowance for chance, which had doubled the work of their questions.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -20,6 +20,8 @@
 	// eligible has an entry for each worker that was asked about.
 	eligible map[string]bool
 	tickets  []ticket
+	// claims are those of the questions under way.
+	claims []claim
 }
 
 // ticket permits starts in one life of a worker.
@@ -39,9 +41,8 @@
 const (
 	// adviceRetry is the pause after a question without an answer.
 	adviceRetry = 150 * time.Millisecond
-	// roomRetry is the pause before workers are looked through again for a step
-	// that had no room.
-	roomRetry = 40 * time.Millisecond
+	// roomRetry is the pause before workers are looked through again for a step.
+	roomRetry = 60 * time.Millisecond
 	// ticketMargin is taken off a ticket's validity: a start is recorded and
 	// sent within it.
 	ticketMargin = 60 * time.Millisecond
@@ -50,10 +51,10 @@
 	// askSurplus times the needed room is asked for, since room may be taken
 	// meanwhile.
 	askSurplus = 1.15
-	// askDeviations of the room of eligible workers are asked for on top, since
-	// eligibility is a matter of chance: the room asked for is too little once in
-	// 20 questions.
-	askDeviations = 1.6
+	// gangDeviations of the room of eligible workers are asked for on top for a
+	// gang, since eligibility is a matter of chance: the room asked for is too
+	// little once in 20 questions.
+	gangDeviations = 1.6
 	// questionSize splits large questions over several lanes: an answer about 30
 	// workers is what objectives allow for.
 	questionSize = 30
@@ -97,15 +98,34 @@
 	return l.Free > 0
 }
 
-// claims is what the steps before the current one in a pass are about to take.
-type claims struct{ need structs.Resources }
+// claim is the room that a step is about to take on a worker.
+type claim struct {
+	worker *worker
+	need   structs.Resources
+}
 
-// add counts a step whose questions are under way.
-func (c *claims) add(s *step) {
+// addClaims notes what a step takes of the workers that are asked about. The steps
+// after it in a pass do not ask for that room.
+func (m *Machine) addClaims(s *step) {
 	if s.advice.asking == 0 {
 		return
 	}
-	c.need = c.need.Add(s.def.Charge().Times(int64(len(s.task) - s.done - s.active)))
+	for _, c := range s.advice.claims {
+		if c.worker.claimedPass != m.passes {
+			c.worker.claimedPass = m.passes
+			c.worker.claimed = structs.Resources{}
+		}
+		c.worker.claimed = c.worker.claimed.Add(c.need)
+	}
+}
+
+// claimedOn returns what the steps before the current one in a pass are about to
+// take of a worker.
+func (m *Machine) claimedOn(w *worker) structs.Resources {
+	if w.claimedPass != m.passes {
+		return structs.Resources{}
+	}
+	return w.claimed
 }
 
 // find returns the ticket for a worker, or nil.
@@ -199,7 +219,7 @@
 	m.needPass = true
 }
 
-// ask asks which workers with room may run the remaining tasks of a step.
+// ask asks which workers may run the remaining tasks of a step.
 func (m *Machine) ask(s *step, q *cell.Queue, need int) {
 	a := &s.advice
 	if a.asking > 0 || m.now.Mono < a.next || need == 0 {
@@ -209,21 +229,21 @@
 	if limited && !m.lanes.free(q.Advice.Cost(1)) {
 		return
 	}
-	names, expected := m.candidates(s, q, need)
+	a.next = m.now.Mono + roomRetry
+	c := m.candidates(s, q, need)
 	// A gang that has too little room in sight waits, unless more workers than
 	// one round may name have room: it learns by rounds then which are eligible.
-	tooLittle := s.def.Gang && expected < float64(need) && len(names) < maxAsked
-	if len(names) == 0 || tooLittle {
-		// Room comes with the next ends.
-		a.next = m.now.Mono + roomRetry
+	tooLittle := s.def.Gang && c.expected < float64(need) && len(c.names) < maxAsked
+	if len(c.names) == 0 || tooLittle {
 		return
 	}
-	m.decide(s.id.String(), "advice is asked", "workers", len(names), "expected_room", int(expected*10)/10, "need", need)
+	m.decide(s.id.String(), "advice is asked", "workers", len(c.names), "expected_room", int(c.expected), "need", need)
+	a.claims = c.claims
 	size := questionSize
-	if limited && m.lanes.Free < 2*(len(names)/questionSize+1) {
+	if limited && m.lanes.Free < 2*(len(c.names)/questionSize+1) {
 		size = largestQuestion
 	}
-	for part := range slices.Chunk(names, size) {
+	for part := range slices.Chunk(c.names, size) {
 		cost := q.Advice.Cost(len(part))
 		if limited && !m.lanes.take(cost) {
 			// The rest is asked about once these are answered.
@@ -234,72 +254,87 @@
 	}
 }
 
+// candidates are the workers to ask about.
+type candidates struct {
+	names  []string
+	claims []claim
+	// expected is the room that is expected on the eligible ones, in tasks.
+	expected float64
+}
+
+// candidate is a worker that could be asked about.
+type candidate struct {
+	worker *worker
+	// room is the expected room, variance that of chance.
+	room     float64
+	variance float64
+	key      float64
+}
+
 // candidates picks workers with room until the expected room of the eligible
 // ones is enough.
-func (m *Machine) candidates(s *step, q *cell.Queue, need int) (names []string, expected float64) {
-	share := m.stats(s.job.def.Queue.Name).eligible
-	type candidate struct {
-		worker *worker
-		// room is the expected room, variance that of chance.
-		room     float64
-		variance float64
-		key      float64
-	}
+func (m *Machine) candidates(s *step, q *cell.Queue, need int) candidates {
 	var all []candidate
-	total := 0
+	share := m.stats(s.job.def.Queue.Name).eligible
 	for _, w := range m.order {
 		if !m.suits(w, s, q) || !s.advice.mayRun(w.info.ID) {
 			continue
 		}
-		n := m.roomFor(w, s)
-		if n == 0 {
-			continue
-		}
-		total += n
-		room := float64(min(n, need))
-		c := candidate{worker: w, room: room, key: room + m.rand.Float64()}
-		if s.advice.eligible[w.info.ID] {
-			c.key += 1000
-		} else {
-			c.room *= share
-			c.variance = share * (1 - share) * room * room
+		if room := min(m.unclaimedFor(w, s), need); room > 0 {
+			all = append(all, m.candidate(w, s, float64(room), share))
 		}
-		if w.health.suspect(m.now.Mono) {
-			c.key -= 500
-		}
-		all = append(all, c)
 	}
 	sort.Slice(all, func(i, k int) bool { return all[i].key > all[k].key })
-	left := m.claimed.left(s, total)
+	deviations := 0.0
+	if s.def.Gang {
+		deviations = gangDeviations
+	}
 	want := float64(need)*askSurplus + 1
+	var out candidates
+	var picked []candidate
 	variance := 0.0
 	for _, c := range all {
-		if expected-askDeviations*math.Sqrt(variance) >= want || len(names) >= maxAsked {
+		if out.expected-deviations*math.Sqrt(variance) >= want || len(out.names) >= maxAsked {
 			break
 		}
-		names = append(names, c.worker.info.ID)
-		expected += c.room * left
-		variance += c.variance * left
+		picked = append(picked, c)
+		out.names = append(out.names, c.worker.info.ID)
+		out.expected += c.room
+		variance += c.variance
+	}
+	for _, c := range picked {
+		out.claims = append(out.claims, claim{c.worker, portion(s.def.Charge(), c.room*min(1, float64(need)/out.expected))})
 	}
-	return names, expected
+	return out
 }
 
-// left returns the share of the room for a step that the claims leave; total is
-// that room in tasks of the step.
-func (c *claims) left(s *step, total int) float64 {
-	if total == 0 {
-		return 1
+// portion returns an amount times a fraction.
+func portion(r structs.Resources, x float64) structs.Resources {
+	return structs.Resources{
+		MilliCPU:     int64(float64(r.MilliCPU) * x),
+		MemoryMB:     int64(float64(r.MemoryMB) * x),
+		Accelerators: int64(float64(r.Accelerators) * x),
 	}
-	need := s.def.Charge()
-	taken := 0.0
-	for _, d := range [][2]int64{
-		{c.need.MilliCPU, need.MilliCPU},
-		{c.need.MemoryMB, need.MemoryMB},
-		{c.need.Accelerators, need.Accelerators},
-	} {
-		if d[1] > 0 {
-			taken = max(taken, float64(d[0])/float64(d[1]))
-		}
+}
+
+// candidate rates a worker: those that are known to be eligible come first, then
+// those with the most room, and suspect ones last.
+func (m *Machine) candidate(w *worker, s *step, room, share float64) candidate {
+	c := candidate{worker: w, room: room, key: room + m.rand.Float64()}
+	if s.advice.eligible[w.info.ID] {
+		c.key += 1000
+	} else {
+		c.room *= share
+		c.variance = share * (1 - share) * room * room
 	}
-	return max(0, 1-taken/float64(total))
+	if w.health.suspect(m.now.Mono) {
+		c.key -= 500
+	}
+	return c
+}
+
+// unclaimedFor returns how many tasks of a step a worker can take beside what the
+// steps before it are about to take.
+func (m *Machine) unclaimedFor(w *worker, s *step) int {
+	return m.roomIn(w.free().Sub(m.claimedOn(w)), w, s)
 }
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -76,9 +76,9 @@
 	batch    int
 	batches  map[int]*batch
 	needPass bool
-	// lanes and claimed belong to the pass under way.
+	// lanes belongs to the pass under way, passes is its number.
 	lanes   AdviceLanes
-	claimed claims
+	passes  int
 	actions []Action
 }
 
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -16,10 +16,10 @@
 		steps = append(steps, m.rank(s))
 	}
 	slices.SortFunc(steps, ranked.compare)
-	m.claimed = claims{}
+	m.passes++
 	for _, r := range steps {
 		m.placeStep(r.step, r.queue)
-		m.claimed.add(r.step)
+		m.addClaims(r.step)
 	}
 }
 
@@ -92,7 +92,12 @@
 
 // roomFor returns how many tasks of a step a worker can take.
 func (m *Machine) roomFor(w *worker, s *step) int {
-	n := fits(s.def.Charge(), w.free())
+	return m.roomIn(w.free(), w, s)
+}
+
+// roomIn returns how many tasks of a step fit into an amount of a worker.
+func (m *Machine) roomIn(free structs.Resources, w *worker, s *step) int {
+	n := fits(s.def.Charge(), free)
 	if s.def.Spread > 0 {
 		n = min(n, s.def.Spread-m.onWorker(s, w))
 	}
@@ -140,9 +145,10 @@
 		return
 	}
 	number := s.lastRun + 1
+	permitted := m.permitted(s, q)
 	placed := 0
 	for _, i := range pending {
-		w := m.choose(s, q, i)
+		w := m.choose(s, q, permitted, i)
 		if w == nil {
 			break
 		}
@@ -174,26 +180,46 @@
 
 // placeGang plans runs for all tasks of a gang, or for none.
 func (m *Machine) placeGang(s *step, q *cell.Queue, pending []int) {
+	permitted := m.permitted(s, q)
+	if !m.gangFits(s, q, permitted, len(pending)) {
+		if q.Advice != nil {
+			m.ask(s, q, len(pending))
+		}
+		return
+	}
 	number := s.lastRun + 1
-	var planned []*run
 	for _, i := range pending {
-		w := m.choose(s, q, i)
-		if w == nil {
-			break
-		}
-		planned = append(planned, m.plan(s, i, number, w))
+		m.plan(s, i, number, m.choose(s, q, permitted, i))
 	}
-	if len(planned) == len(pending) {
-		m.begin(s, len(planned))
-		return
+	m.begin(s, len(pending))
+}
+
+// gangFits reports whether there is room for all tasks of a gang.
+func (m *Machine) gangFits(s *step, q *cell.Queue, permitted []*worker, need int) bool {
+	room := 0
+	for _, w := range permitted {
+		if m.suits(w, s, q) {
+			room += m.roomFor(w, s)
+		}
+		if room >= need {
+			return true
+		}
 	}
-	for _, r := range planned {
-		m.unplan(r)
+	return false
+}
+
+// permitted returns the workers on which a step may start now.
+func (m *Machine) permitted(s *step, q *cell.Queue) []*worker {
+	if q.Advice == nil {
+		return m.order
 	}
-	s.lastRun = number - 1
-	if q.Advice != nil {
-		m.ask(s, q, len(pending))
+	out := make([]*worker, 0, len(s.advice.tickets))
+	for i := range s.advice.tickets {
+		if t := &s.advice.tickets[i]; t.valid(m.now.Mono) {
+			out = append(out, t.worker)
+		}
 	}
+	return out
 }
 
 // plan reserves room for a run. Its order is sent once it is recorded.
@@ -231,20 +257,11 @@
 	r.step.task[r.id.Index].run = nil
 }
 
-// choose returns the worker for a task, or nil. Where advice is needed only
-// workers with a ticket count.
-func (m *Machine) choose(s *step, q *cell.Queue, index int) *worker {
+// choose returns the best of the permitted workers for a task, or nil.
+func (m *Machine) choose(s *step, q *cell.Queue, permitted []*worker, index int) *worker {
 	best := choice{}
-	if q.Advice == nil {
-		for _, w := range m.order {
-			m.consider(&best, w, s, q, index)
-		}
-		return best.worker
-	}
-	for i := range s.advice.tickets {
-		if t := &s.advice.tickets[i]; t.valid(m.now.Mono) {
-			m.consider(&best, t.worker, s, q, index)
-		}
+	for _, w := range permitted {
+		m.consider(&best, w, s, q, index)
 	}
 	return best.worker
 }
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -40,6 +40,9 @@
 	// list holds the runs in the order in which they were opened.
 	list []*run
 	used structs.Resources
+	// claimed is what steps ask for in the pass claimedPass.
+	claimed     structs.Resources
+	claimedPass int
 	// strangers counts runs there that the owner does not know.
 	strangers int
 	// avoidUntil keeps new tasks away for a while.
