--- a/internal/cell/node/control.go
+++ b/internal/cell/node/control.go
@@ -29,8 +29,9 @@
 	// startTimeout is the same for an order to start, which is repeated as it is:
 	// the tightest objective leaves 250 ms for all but the work.
 	startTimeout = 120 * time.Millisecond
-	// renewSlack is added to the wait of a renewal.
-	renewSlack = 400 * time.Millisecond
+	// renewSlack is added to the wait of a renewal. An answer takes 2 to 4 ms; the
+	// rest is for an owner that is short of processor time.
+	renewSlack = 200 * time.Millisecond
 	// appendTimeout bounds one append of progress. The slowest store seen
 	// answers after 0.35 s.
 	appendTimeout = 700 * time.Millisecond
