--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -51,10 +51,14 @@
 	// askSurplus times the needed room is asked for, since room may be taken
 	// meanwhile.
 	askSurplus = 1.15
-	// gangDeviations of the room of eligible workers are asked for on top for a
-	// gang, since eligibility is a matter of chance: the room asked for is too
-	// little once in 20 questions.
-	gangDeviations = 1.6
+	// askDeviations of the room of eligible workers are asked for on top, since
+	// eligibility is a matter of chance: the room asked for is too little once in
+	// 20 questions. Steps that can start in part and whose answers take long go
+	// without.
+	askDeviations = 1.6
+	// tightJitter, a share of a worker's processors, keeps questions of one moment
+	// from naming the same workers.
+	tightJitter = 0.1
 	// questionSize splits large questions over several lanes: an answer about 30
 	// workers is what objectives allow for.
 	questionSize = 30
@@ -225,8 +229,7 @@
 	if a.asking > 0 || m.now.Mono < a.next || need == 0 {
 		return
 	}
-	limited := q.Advice.Cost(questionSize) >= ShortQuestion
-	if limited && !m.lanes.free(q.Advice.Cost(1)) {
+	if limited(q) && !m.lanes.free(q.Advice.Cost(1)) {
 		return
 	}
 	a.next = m.now.Mono + roomRetry
@@ -240,12 +243,12 @@
 	m.decide(s.id.String(), "advice is asked", "workers", len(c.names), "expected_room", int(c.expected), "need", need)
 	a.claims = c.claims
 	size := questionSize
-	if limited && m.lanes.Free < 2*(len(c.names)/questionSize+1) {
+	if limited(q) && m.lanes.Free < 2*(len(c.names)/questionSize+1) {
 		size = largestQuestion
 	}
 	for part := range slices.Chunk(c.names, size) {
 		cost := q.Advice.Cost(len(part))
-		if limited && !m.lanes.take(cost) {
+		if limited(q) && !m.lanes.take(cost) {
 			// The rest is asked about once these are answered.
 			break
 		}
@@ -254,6 +257,9 @@
 	}
 }
 
+// limited reports whether a queue's questions need a free lane.
+func limited(q *cell.Queue) bool { return q.Advice.Cost(questionSize) >= ShortQuestion }
+
 // candidates are the workers to ask about.
 type candidates struct {
 	names  []string
@@ -286,8 +292,8 @@
 	}
 	sort.Slice(all, func(i, k int) bool { return all[i].key > all[k].key })
 	deviations := 0.0
-	if s.def.Gang {
-		deviations = gangDeviations
+	if s.def.Gang || !limited(q) {
+		deviations = askDeviations
 	}
 	want := float64(need)*askSurplus + 1
 	var out candidates
@@ -317,10 +323,14 @@
 	}
 }
 
-// candidate rates a worker: those that are known to be eligible come first, then
-// those with the most room, and suspect ones last.
+// candidate rates a worker: those that are known to be eligible come first, and
+// suspect ones last. A gang's questions are long, so that those with the most room
+// are named; other steps fill the fullest workers, which leaves room to gangs.
 func (m *Machine) candidate(w *worker, s *step, room, share float64) candidate {
 	c := candidate{worker: w, room: room, key: room + m.rand.Float64()}
+	if !s.def.Gang {
+		c.key = -m.leftOn(w, portion(s.def.Charge(), room)) - tightJitter*m.rand.Float64()
+	}
 	if s.advice.eligible[w.info.ID] {
 		c.key += 1000
 	} else {
--- a/internal/cell/owner/advice_test.go
+++ b/internal/cell/owner/advice_test.go
@@ -87,3 +87,23 @@
 	f.place(AdviceLanes{Free: 2, FreeForLong: 2, Long: time.Second})
 	is.Equal(len(taken[Ask](f)), 1)
 }
+
+// TestSmallStepsFillTheFullestWorkers guards the room of gangs: a step that can
+// start anywhere asks about workers that it fills, not about empty ones.
+func TestSmallStepsFillTheFullestWorkers(t *testing.T) {
+	is := is.New(t)
+	f := newAdvisedFixture(t, 8)
+	for i, w := range f.m.order {
+		if i%2 == 0 {
+			w.used = structs.Resources{MilliCPU: 500}
+		}
+	}
+	step := cell.Step{Count: 1, Need: structs.Resources{MilliCPU: 500}, Estimate: time.Second}
+	f.apply(JobSubmitted{Job: newJob("small", step)})
+	f.place(manyLanes)
+	asks := taken[Ask](f)
+	is.Equal(len(asks), 1)
+	for _, id := range asks[0].Workers[:2] {
+		is.Equal(f.m.workers[id].used.MilliCPU, int64(500))
+	}
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -335,13 +335,18 @@
 	weightFar = 3.0
 )
 
+// leftOn returns the share of a worker's processors that an amount would leave
+// free.
+func (m *Machine) leftOn(w *worker, need structs.Resources) float64 {
+	if w.info.Capacity.MilliCPU == 0 {
+		return 0
+	}
+	return float64(w.free().Sub(need).MilliCPU) / float64(w.info.Capacity.MilliCPU)
+}
+
 // score rates a worker for a task. Best fit keeps large holes for large tasks.
 func (m *Machine) score(w *worker, s *step, index int) float64 {
-	left := w.free().Sub(s.def.Charge())
-	score := 0.0
-	if w.info.Capacity.MilliCPU > 0 {
-		score = float64(left.MilliCPU) / float64(w.info.Capacity.MilliCPU)
-	}
+	score := m.leftOn(w, s.def.Charge())
 	if w.health.suspect(m.now.Mono) {
 		score += weightSuspect
 	}
