Keep tasks from workers that fail what they start

A failed worker was only chosen last, and was forgiven after 3 s.

A step now avoids a worker on which a run of it failed for 6 s. A worker that failed different jobs in a row gets no tasks for 1 s, doubled with each further failure up to 16 s, and then one at a time until one succeeds; a job that can never be done counts once. If 0.3 of the workers are in quarantine, none is kept from work.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -337,7 +337,7 @@
 		c.room *= share
 		c.variance = share * (1 - share) * room * room
 	}
-	if w.health.suspect(m.now.Mono) {
+	if w.health.suspect() {
 		c.key -= 500
 	}
 	return c
--- a/internal/cell/owner/ends.go
+++ b/internal/cell/owner/ends.go
@@ -139,8 +139,7 @@
 	s := r.step
 	t := &s.task[r.id.Index]
 	limit := m.queue(r.job).MaxAttempts
-	r.worker.health.failed(m.now.Mono)
-	t.avoid = r.worker.info.ID
+	m.failedOn(r)
 	if s.def.LongRunning {
 		t.notBefore = m.now.Mono + restartPause
 		return
--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -3,45 +3,99 @@
 import (
 	"slices"
 	"time"
+
+	"gypsumwinch/internal/cell"
 )
 
 // health tells workers that fail what they start from sound ones.
 type health struct {
-	// score counts recent failures; successes reduce it.
-	score    float64
+	// streak counts the jobs of which a run failed since the last success.
+	streak int
+	// lastJob is the last of them: a job that can never be done fails many runs.
+	lastJob  cell.JobID
 	failedAt time.Duration
 }
 
 const (
-	// suspectScore is the score from which a worker gets tasks only if no other
-	// can take them; single failures are usually the task's own.
-	suspectScore = 1.5
-	// successCredit is what a success takes off the score.
-	successCredit = 0.5
-	// healthHalfLife is how fast failures are forgotten.
-	healthHalfLife = 3 * time.Second
+	// suspectStreak is the streak from which a worker gets no tasks for a while;
+	// single failures are usually the task's own, which are 2 to 4 in a hundred.
+	suspectStreak = 2
+	// quarantineBase is the length of the first quarantine; each further failure
+	// doubles it.
+	quarantineBase = time.Second
+	// quarantineMost bounds it: workers turn sound again within some seconds.
+	quarantineMost = 16 * time.Second
+	// quarantinedMost is the share of workers in quarantine from which none is
+	// kept from work: then the cause is elsewhere.
+	quarantinedMost = 0.3
+	// avoidFor is how long a step avoids a worker on which a run of it failed.
+	avoidFor = 6 * time.Second
 )
 
-func (h *health) failed(now time.Duration) {
-	h.score = h.current(now) + 1
+func (h *health) failed(now time.Duration, job cell.JobID) {
 	h.failedAt = now
+	if h.streak > 0 && h.lastJob == job {
+		return
+	}
+	h.streak++
+	h.lastJob = job
+}
+
+func (h *health) succeeded() { h.streak = 0 }
+
+// suspect reports whether a worker has failed several jobs in a row. After its
+// quarantine it gets one task at a time until one succeeds.
+func (h *health) suspect() bool { return h.streak >= suspectStreak }
+
+// quarantined reports whether a worker gets no tasks for now.
+func (h *health) quarantined(now time.Duration) bool {
+	if !h.suspect() {
+		return false
+	}
+	length := min(quarantineBase<<min(h.streak-suspectStreak, 10), quarantineMost)
+	return now-h.failedAt < length
 }
 
-func (h *health) succeeded() {
-	h.score = max(0, h.score-successCredit)
+// countQuarantined decides whether quarantines are kept in this pass.
+func (m *Machine) countQuarantined() {
+	quarantined := 0
+	for _, w := range m.order {
+		if w.health.quarantined(m.now.Mono) {
+			quarantined++
+		}
+	}
+	m.trustAll = float64(quarantined) > quarantinedMost*float64(len(m.order))
 }
 
-// current returns the score, which halves every healthHalfLife.
-func (h *health) current(now time.Duration) float64 {
-	score := h.score
-	for age := now - h.failedAt; age > healthHalfLife && score > 0.01; age -= healthHalfLife {
-		score /= 2
+// trusted returns how many tasks the health of a worker permits there beside its
+// runs, of a number that fits.
+func (m *Machine) trusted(w *worker, n int) int {
+	switch {
+	case m.trustAll || !w.health.suspect():
+		return n
+	case w.health.quarantined(m.now.Mono):
+		return 0
+	default:
+		return min(n, 1-len(w.runs))
 	}
-	return score
 }
 
-func (h *health) suspect(now time.Duration) bool {
-	return h.current(now) >= suspectScore
+// avoids reports whether a run of a step failed on a worker lately.
+func (m *Machine) avoids(s *step, w *worker) bool {
+	at, failed := s.avoid[w.info.ID]
+	return failed && m.now.Mono-at < avoidFor
+}
+
+// failedOn notes that a run failed, or stood still, on its worker.
+func (m *Machine) failedOn(r *run) {
+	r.worker.health.failed(m.now.Mono, r.job.def.ID)
+	if r.step == nil {
+		return
+	}
+	if r.step.avoid == nil {
+		r.step.avoid = map[string]time.Duration{}
+	}
+	r.step.avoid[r.worker.info.ID] = m.now.Mono
 }
 
 const (
@@ -64,8 +118,7 @@
 		}
 		m.decide(r.name, "run is stuck", "run", r.number, "worker", w.info.ID, "percent", r.percent,
 			"still_ms", (m.now.Mono - r.percentAt).Milliseconds())
-		w.health.failed(m.now.Mono)
-		r.step.task[r.id.Index].avoid = w.info.ID
+		m.failedOn(r)
 		if r.step.def.Gang {
 			m.stopGang(r.step, "a member is stuck")
 			continue
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -49,6 +49,8 @@
 	// active counts runs that are not closed.
 	active int
 	advice adviceState
+	// avoid is when a run of the step last failed on a worker.
+	avoid map[string]time.Duration
 }
 
 // task is one task of a step.
@@ -58,8 +60,6 @@
 	// run is the open run, if any.
 	run        *run
 	checkpoint string
-	// avoid is the worker of the last failed run.
-	avoid string
 	// notBefore delays the restart of a task that lasts.
 	notBefore time.Duration
 }
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -77,9 +77,11 @@
 	batches  map[int]*batch
 	needPass bool
 	// lanes belongs to the pass under way, passes is its number.
-	lanes   AdviceLanes
-	passes  int
-	actions []Action
+	lanes  AdviceLanes
+	passes int
+	// trustAll is true while quarantines are not kept.
+	trustAll bool
+	actions  []Action
 }
 
 // New returns an owner that has just begun.
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -17,6 +17,7 @@
 	}
 	slices.SortFunc(steps, ranked.compare)
 	m.passes++
+	m.countQuarantined()
 	for _, r := range steps {
 		m.placeStep(r.step, r.queue)
 		m.addClaims(r.step)
@@ -123,7 +124,7 @@
 
 // suits reports whether a worker may run a step, room and advice aside.
 func (m *Machine) suits(w *worker, s *step, q *cell.Queue) bool {
-	return w.info.Service == q.Service && m.usable(w) && w.info.HasLabel(s.def.Label)
+	return w.info.Service == q.Service && m.usable(w) && w.info.HasLabel(s.def.Label) && !m.avoids(s, w)
 }
 
 // free returns a worker's free capacity.
@@ -138,7 +139,7 @@
 
 // roomIn returns how many tasks of a step fit into an amount of a worker.
 func (m *Machine) roomIn(free structs.Resources, w *worker, s *step) int {
-	n := fits(s.def.Charge(), free)
+	n := m.trusted(w, fits(s.def.Charge(), free))
 	if s.def.Spread > 0 {
 		n = min(n, s.def.Spread-m.onWorker(s, w))
 	}
@@ -189,7 +190,7 @@
 	permitted := m.permitted(s, q)
 	placed := 0
 	for _, i := range pending {
-		w := m.choose(s, q, permitted, i)
+		w := m.choose(s, q, permitted)
 		if w == nil {
 			break
 		}
@@ -230,7 +231,7 @@
 	}
 	number := s.lastRun + 1
 	for _, i := range pending {
-		m.plan(s, i, number, m.choose(s, q, permitted, i))
+		m.plan(s, i, number, m.choose(s, q, permitted))
 	}
 	m.begin(s, len(pending))
 }
@@ -290,10 +291,10 @@
 }
 
 // choose returns the best of the permitted workers for a task, or nil.
-func (m *Machine) choose(s *step, q *cell.Queue, permitted []*worker, index int) *worker {
+func (m *Machine) choose(s *step, q *cell.Queue, permitted []*worker) *worker {
 	best := choice{}
 	for _, w := range permitted {
-		m.consider(&best, w, s, q, index)
+		m.consider(&best, w, s, q)
 	}
 	return best.worker
 }
@@ -305,11 +306,11 @@
 }
 
 // consider takes a worker if it suits, has room and is better.
-func (m *Machine) consider(best *choice, w *worker, s *step, q *cell.Queue, index int) {
+func (m *Machine) consider(best *choice, w *worker, s *step, q *cell.Queue) {
 	if !m.suits(w, s, q) || m.roomFor(w, s) == 0 {
 		return
 	}
-	score := m.score(w, s, index)
+	score := m.score(w, s)
 	if best.worker == nil || score < best.score {
 		best.worker, best.score = w, score
 	}
@@ -320,8 +321,6 @@
 const (
 	// weightSuspect outweighs all but the lack of another worker.
 	weightSuspect = 10.0
-	// weightAvoid keeps a task from the worker where it failed last.
-	weightAvoid = 5.0
 	// weightFar keeps tasks near their data, since away from it they take longer.
 	weightFar = 3.0
 )
@@ -336,14 +335,11 @@
 }
 
 // score rates a worker for a task. Best fit keeps large holes for large tasks.
-func (m *Machine) score(w *worker, s *step, index int) float64 {
+func (m *Machine) score(w *worker, s *step) float64 {
 	score := m.leftOn(w, s.def.Charge())
-	if w.health.suspect(m.now.Mono) {
+	if w.health.suspect() {
 		score += weightSuspect
 	}
-	if s.task[index].avoid == w.info.ID {
-		score += weightAvoid
-	}
 	if s.def.DataRack != "" && s.def.DataRack != w.info.Rack() {
 		score += weightFar
 	}
