Tell a slow store from one that has turned a VM away

The VM took its way for lost, did not learn the latency, and sent up to three copies of each call, which a partition takes one after the other. The owner's beats had 0.35 s and were given up; another VM claimed at second 9.6.

An answer through a relay now tells the latency; the direct way counts as lost only if it had three times as long. Beats have 0.45 s.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -34,7 +34,7 @@
 	// appendTimeout bounds one append beside what a slow store takes: an owner's
 	// beat must be repeated within ClaimAfter of the end of an outage in which
 	// appends went unanswered.
-	appendTimeout = 350 * time.Millisecond
+	appendTimeout = 450 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = 100 * time.Millisecond
 	// yieldFor is how long a VM that resigned leaves claims to others.
--- a/internal/cell/node/storepath.go
+++ b/internal/cell/node/storepath.go
@@ -82,22 +82,29 @@
 		defer cancel()
 		began := boot()
 		if _, err := p.direct.Newest(ctx, cell.TopicOwner); err == nil {
-			p.learn(true, boot()-began)
+			took := boot() - began
+			p.learn(true, took, took, false)
 		}
 	}()
 }
 
 // viaResult is what another VM answered.
 type viaResult[T any] struct {
-	value   T
+	relayed[T]
 	outcome cellpb.Outcome
 	err     error
 }
 
+// relayed is an answer of the store through another VM, which took so long.
+type relayed[T any] struct {
+	value T
+	took  time.Duration
+}
+
 // via calls through other VMs until one of them has an answer of the store. The
 // next one is called when the one before has not answered for as long as a call
 // is hedged for, or has no answer of the store.
-func via[T any](ctx context.Context, p *storePath, call func(context.Context, cellpb.Cell) (T, cellpb.Outcome, error)) (T, error) {
+func via[T any](ctx context.Context, p *storePath, call func(context.Context, cellpb.Cell) (T, cellpb.Outcome, error)) (relayed[T], error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := p.peers()
@@ -106,7 +113,6 @@
 	next := time.NewTimer(0)
 	defer next.Stop()
 	err := eris.Wrap(cell.ErrNotDone, "no other VM can be asked")
-	var none T
 	called, open := 0, 0
 	for called < len(peers) || open > 0 {
 		select {
@@ -118,21 +124,22 @@
 			called++
 			open++
 			go func() {
+				began := boot()
 				value, outcome, err := call(ctx, peer)
-				results <- viaResult[T]{value, outcome, err}
+				results <- viaResult[T]{relayed[T]{value, boot() - began}, outcome, err}
 			}()
 			next.Reset(p.hedgeAfter())
 			continue
 		case r := <-results:
 			open--
 			if r.err == nil && r.outcome != cellpb.Outcome_NOT_DONE && r.outcome != cellpb.Outcome_UNKNOWN {
-				return r.value, nil
+				return r.relayed, nil
 			}
 			err = viaError(err, r.outcome, r.err)
 			next.Reset(0)
 		}
 	}
-	return none, err
+	return relayed[T]{}, err
 }
 
 // viaError combines the failures of several VMs: once one of them may have had
@@ -156,18 +163,22 @@
 
 // result is the result of one way of a call.
 type result[T any] struct {
-	value  T
+	relayed[T]
 	err    error
 	direct bool
 }
 
 // hedged calls the store directly and, if it does not answer soon, through
-// another VM, too. The first answer of the store counts. The direct way is bad
-// only if another VM had an answer first: else the store is slow or down.
-func hedged[T any](ctx context.Context, p *storePath, extra time.Duration, direct, viaPeer func(context.Context) (T, error)) (T, error) {
+// another VM, too. The first answer of the store counts; extra is the time for
+// which the store may wait by itself.
+func hedged[T any](ctx context.Context, p *storePath, extra time.Duration, direct func(context.Context) (T, error), viaPeer func(context.Context) (relayed[T], error)) (T, error) {
 	if p.bad() {
 		p.probe()
-		return viaPeer(ctx)
+		r, err := viaPeer(ctx)
+		if extra == 0 && (err == nil || isAnswer(err)) {
+			p.latency.Store(int64(r.took))
+		}
+		return r.value, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -175,14 +186,14 @@
 	began := boot()
 	go func() {
 		v, err := direct(ctx)
-		results <- result[T]{v, err, true}
+		results <- result[T]{relayed[T]{v, boot() - began}, err, true}
 	}()
 	timer := time.NewTimer(extra + p.hedgeAfter())
 	defer timer.Stop()
 	hedge := func() {
 		go func() {
-			v, err := viaPeer(ctx)
-			results <- result[T]{v, err, false}
+			r, err := viaPeer(ctx)
+			results <- result[T]{r, err, false}
 		}()
 	}
 	open, hedges := 1, 0
@@ -198,7 +209,7 @@
 		}
 		open--
 		if last.err == nil || isAnswer(last.err) {
-			p.learn(last.direct, boot()-began-extra)
+			p.learn(last.direct, last.took, boot()-began, extra > 0)
 			return last.value, last.err
 		}
 		if !errors.Is(last.err, cell.ErrNotDone) {
@@ -220,15 +231,20 @@
 	}
 }
 
-// learn notes which way had the first answer.
-func (p *storePath) learn(direct bool, took time.Duration) {
-	if direct {
+// learn notes which way had the first answer, how long that way took and how long
+// the direct one has been tried. A direct call that has not had several times as
+// long as the other way says nothing: the store is slow for all. The time of a
+// call that may wait at the store tells nothing of its latency.
+func (p *storePath) learn(direct bool, took, tried time.Duration, waits bool) {
+	if !waits {
+		p.latency.Store(int64(took))
+	}
+	switch {
+	case direct:
 		p.answeredAt.Store(int64(boot()))
-		p.latency.Store(int64(max(took, 0)))
 		p.works()
-		return
-	}
-	if p.badSince.CompareAndSwap(0, int64(boot())) {
+	case !waits && tried < hedgeFactor*took:
+	case p.badSince.CompareAndSwap(0, int64(boot())):
 		p.log("store answers other VMs only")
 	}
 }
@@ -247,15 +263,15 @@
 	}
 	return hedged(ctx, p, 0, func(ctx context.Context) (int64, error) {
 		return p.direct.Append(ctx, a)
-	}, func(ctx context.Context) (int64, error) {
-		resp, err := via(ctx, p, func(ctx context.Context, peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
+	}, func(ctx context.Context) (relayed[int64], error) {
+		r, err := via(ctx, p, func(ctx context.Context, peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
 			resp, err := peer.Append(ctx, req)
 			return resp, resp.GetOutcome(), err
 		})
 		if err != nil {
-			return 0, err
+			return relayed[int64]{}, err
 		}
-		return resp.End, outcomeError(resp.Outcome, resp.End)
+		return relayed[int64]{r.value.End, r.took}, outcomeError(r.value.Outcome, r.value.End)
 	})
 }
 
@@ -266,7 +282,7 @@
 	req := &cellpb.ReadRequest{Topic: string(topic), From: from, WaitMs: wait.Milliseconds()}
 	return hedged(ctx, p, wait, func(ctx context.Context) (cell.Batch, error) {
 		return p.direct.Read(ctx, topic, from, wait)
-	}, func(ctx context.Context) (cell.Batch, error) {
+	}, func(ctx context.Context) (relayed[cell.Batch], error) {
 		return p.batchVia(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
 	})
 }
@@ -276,23 +292,24 @@
 	req := &cellpb.NewestRequest{Topic: string(topic)}
 	return hedged(ctx, p, newestExtra, func(ctx context.Context) (cell.Batch, error) {
 		return p.direct.Newest(ctx, topic)
-	}, func(ctx context.Context) (cell.Batch, error) {
+	}, func(ctx context.Context) (relayed[cell.Batch], error) {
 		return p.batchVia(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) {
 			return peer.Newest(ctx, req)
 		})
 	})
 }
 
-func (p *storePath) batchVia(ctx context.Context, call func(context.Context, cellpb.Cell) (*cellpb.BatchResponse, error)) (cell.Batch, error) {
-	resp, err := via(ctx, p, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, cellpb.Outcome, error) {
+func (p *storePath) batchVia(ctx context.Context, call func(context.Context, cellpb.Cell) (*cellpb.BatchResponse, error)) (relayed[cell.Batch], error) {
+	r, err := via(ctx, p, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, cellpb.Outcome, error) {
 		resp, err := call(ctx, peer)
 		return resp, resp.GetOutcome(), err
 	})
 	if err != nil {
-		return cell.Batch{}, err
+		return relayed[cell.Batch]{}, err
 	}
+	resp := r.value
 	batch := cell.Batch{Records: fromWire(resp.Records), Next: resp.Next, End: resp.End}
-	return batch, outcomeError(resp.Outcome, resp.End)
+	return relayed[cell.Batch]{batch, r.took}, outcomeError(resp.Outcome, resp.End)
 }
 
 // outcomeOfError encodes an error of the store.
