--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -103,8 +103,8 @@
 	met []string
 	// relays are the VMs that the store answers, as the owner told.
 	relays atomic.Pointer[[]string]
-	// answered is when a VM said that the store answers it, under mu.
-	answered map[string]time.Duration
+	// answered are the VMs which said that the store answers them, under mu.
+	answered map[string]relay
 	draining atomic.Bool
 	// ownCtx ends when this VM may own the cell no longer.
 	ownCtx     context.Context
@@ -123,7 +123,7 @@
 		instance: ulid.Make().String(),
 		began:    boot(),
 		peers:    map[string]cellpb.Cell{},
-		answered: map[string]time.Duration{},
+		answered: map[string]relay{},
 		http:     peerTransport(),
 	}
 	n.path = &storePath{direct: ports.Store, peers: n.peersForStore, log: func(message string, details ...any) {
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -19,27 +19,45 @@
 	relayFresh = heardFresh
 )
 
+// relay is a VM that the store answers.
+type relay struct {
+	at time.Duration
+	// large is true for a VM that follows the jobs: such VMs have the links and
+	// the processor time for others' calls.
+	large bool
+}
+
 // noteRelay remembers whether the store answers a VM.
-func (n *Node) noteRelay(addr string, answers bool) {
+func (n *Node) noteRelay(addr string, answers, large bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !answers {
 		delete(n.answered, addr)
 		return
 	}
-	n.answered[addr] = boot()
+	n.answered[addr] = relay{at: boot(), large: large}
 }
 
-// freshRelays returns some VMs that the store answers, in random order, without
-// the one that asks.
+// freshRelays returns some VMs that the store answers, large ones first and else
+// in random order, without the one that asks.
 func (n *Node) freshRelays(asking string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := boot()
-	maps.DeleteFunc(n.answered, func(_ string, at time.Duration) bool { return now-at > relayFresh })
+	maps.DeleteFunc(n.answered, func(_ string, r relay) bool { return now-r.at > relayFresh })
 	out := slices.Collect(maps.Keys(n.answered))
 	out = slices.DeleteFunc(out, func(addr string) bool { return addr == asking })
 	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	slices.SortStableFunc(out, func(a, b string) int {
+		switch {
+		case n.answered[a].large == n.answered[b].large:
+			return 0
+		case n.answered[a].large:
+			return -1
+		default:
+			return 1
+		}
+	})
 	return out[:min(relaysTold, len(out))]
 }
 
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -112,7 +112,7 @@
 	if req.WantPending && n.follows() {
 		resp.Pending = n.mirror.pendingByQueue()
 	}
-	n.noteRelay(req.Addr, req.StoreAnswers)
+	n.noteRelay(req.Addr, req.StoreAnswers, req.Follows)
 	if n.holding.Load() {
 		resp.Relays = n.freshRelays(req.Addr)
 		// Also while the state is read: a claim then would only begin that anew.
--- a/internal/cell/node/storepath_test.go
+++ b/internal/cell/node/storepath_test.go
@@ -155,13 +155,15 @@
 func TestOwnerNamesRelaysThatTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
 	n := newFollower(&cellstore.Store{}, nil)
-	n.noteRelay("a:1", true)
-	n.noteRelay("b:1", true)
-	n.noteRelay("b:1", false)
-	n.noteRelay("c:1", true)
-	n.answered["c:1"] = boot() - 2*relayFresh
+	n.noteRelay("a:1", true, false)
+	n.noteRelay("b:1", true, false)
+	n.noteRelay("b:1", false, false)
+	n.noteRelay("c:1", true, true)
+	n.answered["c:1"] = relay{at: boot() - 2*relayFresh, large: true}
 	is.Equal(n.freshRelays("z:1"), []string{"a:1"})
 	is.Equal(len(n.freshRelays("a:1")), 0)
+	n.noteRelay("d:1", true, true)
+	is.Equal(n.freshRelays("z:1"), []string{"d:1", "a:1"}) // small VMs have slow links
 }
 
 // TestRelayOfASlowStoreSaysNothingOfTheDirectWay guards against copies of every
