--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
 	"gypsumwinch/internal/cell"
 )
 
@@ -88,7 +90,13 @@
 	default:
 		return &cell.NotRunError{After: cell.ReturnSoon, Cause: errTooMany}
 	}
-	return <-s.done
+	select {
+	case err := <-s.done:
+		return err
+	case <-ctx.Done():
+		// The batch may be under way, or the process is about to end.
+		return eris.Wrap(ctx.Err(), "wait for an append")
+	}
 }
 
 // run appends batches until the context ends.
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -271,3 +271,24 @@
 	}
 	is.Equal(asked, maxAsked)
 }
+
+// TestCursorOfAFormerLifeIsNotSent guards against a task that runs twice: a worker
+// that has started anew forgot ends that nobody had seen, since the first renewal
+// after the failure carried the cursor of its former life.
+func TestCursorOfAFormerLifeIsNotSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500))})
+	f.settle()
+	start := taken[SendStart](f)[0].Start
+	f.apply(Started{Task: start.Task, Run: start.Run, Worker: "w"})
+	f.ended = []cell.Ended{{Number: 7, Task: "j.0.0.0", Run: 1, How: cell.EndDone}}
+	f.look()
+	f.settle()
+	is.Equal(f.m.workers["w"].safeCursor(), int64(7))
+	f.apply(Renewed{Worker: "w", Sent: f.now, Err: errNoAnswer})
+	f.forget()
+	f.now += renewRetry
+	f.apply(Tick{})
+	is.Equal(taken[Renew](f)[0].Renewal.Cursor, int64(0))
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -229,11 +229,21 @@
 		Addr:     w.info.Addr,
 		Token:    m.opts.Term,
 		LeaseEnd: m.extendLease(w),
-		Cursor:   w.cursorRecorded,
+		Cursor:   w.safeCursor(),
 		Wait:     m.renewalWait(w),
 	}})
 }
 
+// safeCursor returns the number up to which ends may be forgotten. After a failed
+// call another life may answer, whose ends are numbered anew: none of them has
+// been seen.
+func (w *worker) safeCursor() int64 {
+	if !w.known || w.failures > 0 {
+		return 0
+	}
+	return w.cursorRecorded
+}
+
 // recordPatience bounds how long a renewal waits for the record of ends: the
 // lease must be renewed also while the store is slow.
 const recordPatience = 700 * time.Millisecond
