Make two tests of the election fail without their mechanism

TestChosenSuccessorClaimsAtOnce passed with the delay, since the claim came after its context had ended; it now checks that the context has not.

No product code changes.

--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -212,37 +213,46 @@
 	term, err := b.Campaign(ctx)
 	is.NoErr(err)
 	is.Equal(term, int64(2))
+	is.NoErr(ctx.Err()) // a delayed claim would come after the end of the context
 }
 
 // TestOwnerKeepsTheCellAfterAnOutage guards against a needless takeover at the end
 // of an outage of the store: the owner's beat must come before the others claim.
+// It runs on the virtual clock of synctest.
 func TestOwnerKeepsTheCellAfterAnOutage(t *testing.T) {
 	for name, fault := range map[string]cellstore.Fault{"refused": cellstore.Refuse, "silent": cellstore.Silent} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			store := &cellstore.Store{}
-			a := loaded(t, store, "a")
-			_, _, err := a.claim(ctx)
-			is.NoErr(err)
-			beaten := make(chan struct{}, 1)
-			a.opts.Beaten = func() {
-				select {
-				case beaten <- struct{}{}:
-				default:
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				store := &cellstore.Store{}
+				a := loaded(t, store, "a")
+				_, _, err := a.claim(ctx)
+				is.NoErr(err)
+				beaten := make(chan struct{}, 1)
+				a.opts.Beaten = func() {
+					select {
+					case beaten <- struct{}{}:
+					default:
+					}
 				}
-			}
-			store.SetFault(func(string, cell.Topic) cellstore.Fault { return fault })
-			go func() { _ = a.Hold(ctx) }()
-			time.Sleep(2 * ClaimAfter)
-			store.SetFault(nil)
-			begin := time.Now()
-			<-beaten
-			t.Logf("beat %v after the outage", time.Since(begin))
-			// The bound is that of the periods: a call under way, then the pause.
-			is.True(appendTimeout+retryPause < ClaimAfter)
+				held := make(chan error)
+				go func() { held <- a.Hold(ctx) }()
+				// The outage ends at different moments of a call and its pause.
+				for length := 2 * ClaimAfter; length < 3*ClaimAfter; length += ClaimAfter / 16 {
+					store.SetFault(func(string, cell.Topic) cellstore.Fault { return fault })
+					time.Sleep(length)
+					store.SetFault(nil)
+					begin := time.Now()
+					for len(beaten) > 0 {
+						<-beaten
+					}
+					<-beaten
+					is.True(time.Since(begin) < ClaimAfter)
+				}
+				cancel()
+				is.True(errors.Is(<-held, context.Canceled))
+			})
 		})
 	}
 }
