Reproduce the loss of records after a resignation that is not recorded

Cause: an owner that resigns (a worker reports a higher token, too few workers of other data centres answer, a panic) appends its resignation on condition that the topic ends after its last heartbeat. A heartbeat whose answer is missing breaks the condition, a slow or silent store the 0.6 s for the call. Campaign then finds the process's own record as the newest and returns the same term again. The control loop of that second ownership numbers its batches from 0; the store has seen these numbers in this epoch and answers them as it did the first time, without appending, or refuses them for good.

--- /dev/null
+++ b/internal/cell/election/resign_test.go
@@ -0,0 +1,74 @@
+package election
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/standin/cellstore"
+)
+
+// failAppends makes a store inject a fault into all appends.
+func failAppends(store *cellstore.Store, fault cellstore.Fault) {
+	store.SetFault(func(call string, _ cell.Topic) cellstore.Fault {
+		if call == "append" {
+			return fault
+		}
+		return cellstore.None
+	})
+}
+
+// TestEndedTermIsNotOwnedAgain guards against two ownerships with one fencing token when a resignation is not recorded.
+func TestEndedTermIsNotOwnedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		store := &cellstore.Store{}
+		e := newElection(store, "a")
+		first, err := e.Campaign(ctx)
+		is.NoErr(err)
+		failAppends(store, cellstore.Refuse)
+		is.True(e.Resign(ctx) != nil)
+		store.SetFault(nil)
+		second, err := e.Campaign(ctx)
+		is.NoErr(err)
+		is.True(second > first)
+	})
+}
+
+// TestResignationFollowsAnUnansweredHeartbeat guards against a resignation that is not recorded because a heartbeat was executed whose answer was lost.
+func TestResignationFollowsAnUnansweredHeartbeat(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	e := loadedElection(t, store, "a")
+	_, _, err := e.claim(ctx)
+	is.NoErr(err)
+	failAppends(store, cellstore.LoseAnswer)
+	is.True(e.writeHeartbeat(ctx) != nil)
+	store.SetFault(nil)
+	is.NoErr(e.Resign(ctx))
+	is.True(loadedElection(t, store, "b").LastRecord().Resigned)
+}
+
+// TestResignationDoesNotFollowTheClaimOfAnotherVM guards against a former owner that records its resignation over the claim of its successor.
+func TestResignationDoesNotFollowTheClaimOfAnotherVM(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	a := loadedElection(t, store, "a")
+	_, _, err := a.claim(ctx)
+	is.NoErr(err)
+	_, won, err := loadedElection(t, store, "b").claim(ctx)
+	is.NoErr(err)
+	is.True(won)
+	is.True(a.Resign(ctx) != nil)
+	newest := loadedElection(t, store, "c").LastRecord()
+	is.Equal(newest.Node, "b")
+	is.True(!newest.Resigned)
+}
