Own no term twice, and record resignations after unanswered heartbeats

Callers saw jobs that were accepted and never ran or never ended: an owner that resigned while the store was slow or had lost an answer could own the cell again in the same term, and the store took the batches of that ownership for repetitions.

Cause: the term is the fencing token and the epoch of the batches, so it must belong to one ownership. Campaign returned any newest record of its own process as a claim whose answer was lost, also that of an ownership that had just ended without a recorded resignation. Resign gave up when its condition failed because of its own heartbeat, or because the second copy of a hedged call was answered first.

Change: Campaign returns no term twice; the record of an ended ownership counts like that of an earlier process of the VM, so that the next claim takes a new term, which workers and store tell from the former one. Resign reads the topic after a conflict and repeats itself if the newest record is still its own.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -119,6 +119,10 @@
 	lastRecord      OwnerRecord
 	// ownedAt is when the call was sent that last showed that this VM owns the cell.
 	ownedAt time.Duration
+	// returnedTerm is the last term that Campaign has returned. No term is returned
+	// twice: its number is the fencing token of one ownership, whose batches of progress
+	// are numbered from 0.
+	returnedTerm int64
 	// suspects receives the instance of an owner whose process is reported to have
 	// ended.
 	suspects chan string
@@ -191,10 +195,11 @@
 		}
 		checkedAt := e.opts.Now()
 		ownerDown, err := e.checkOwner(ctx)
-		if err == nil && e.ownsLastRecord() {
+		if err == nil && e.ownsLastRecord() && !e.hasEnded(e.lastRecord) {
 			// An earlier claim whose answer was lost was executed after all.
 			e.ownedAt = checkedAt
-			return e.lastRecord.Term, nil
+			e.returnedTerm = e.lastRecord.Term
+			return e.returnedTerm, nil
 		}
 		switch {
 		case errors.Is(err, cell.ErrExpired):
@@ -206,6 +211,9 @@
 		case !ownerDown || e.opts.Now() < e.cooldownUntil && !e.isSuccessor():
 			// A VM that resigned lets the others claim until cooldownUntil, unless the
 			// next owner resigns in its favour.
+			if ownerDown {
+				e.sleep(ctx, retryInterval)
+			}
 			continue
 		}
 		if unclaimed, err := e.waitForOtherClaims(ctx); err != nil || !unclaimed {
@@ -218,6 +226,7 @@
 			continue
 		}
 		if won {
+			e.returnedTerm = term
 			return term, nil
 		}
 	}
@@ -249,9 +258,10 @@
 }
 
 // checkOwner checks the owner once and reports whether it is down; Campaign calls it
-// in a loop. An owner is down if it was an earlier process of this VM, if its suspected
-// process wrote the newest record (Suspect), if it has resigned and no newer record
-// follows, or if the store returned no heartbeat in time.
+// in a loop. An owner is down if it was an earlier process of this VM or an ended
+// ownership of this process, if its suspected process wrote the newest record
+// (Suspect), if it has resigned and no newer record follows, or if the store returned no
+// heartbeat in time.
 //
 // The timeout is HeartbeatTimeout. If the newest heartbeat is known from a status that
 // the owner sent, the age of that status is subtracted, but at least HeartbeatInterval
@@ -261,8 +271,7 @@
 // While the owner reports that it is healthy, no timeout applies. The check then ends
 // after ownerCheckInterval, and only a suspicion can find the owner down.
 func (e *Election) checkOwner(ctx context.Context) (ownerDown bool, err error) {
-	if e.lastRecord.Instance != "" && e.lastRecord.Addr == e.opts.Addr && e.lastRecord.Instance != e.opts.Instance {
-		// The owner was an earlier process of this VM, which has ended.
+	if e.hasEnded(e.lastRecord) {
 		return e.confirmLastOwner(ctx, e.lastRecord.Instance)
 	}
 	status := e.opts.OwnerStatus()
@@ -284,6 +293,16 @@
 	return e.waitForHeartbeat(ctx, wait)
 }
 
+// hasEnded reports whether a record is that of an ownership that has certainly ended: of
+// an earlier process of this VM, or of a term that this process has already owned while
+// Campaign runs. checkOwner and Campaign call it.
+func (e *Election) hasEnded(r OwnerRecord) bool {
+	if r.Instance == e.opts.Instance {
+		return r.Term <= e.returnedTerm
+	}
+	return r.Instance != "" && r.Addr == e.opts.Addr
+}
+
 // waitForSuspicion waits until an owner is suspected or the time is up. It reports the
 // owner down if the suspected process wrote the newest record. checkOwner calls it
 // while the owner is healthy, waitForHeartbeat after a read that ended early.
@@ -508,6 +527,28 @@
 func (e *Election) Resign(ctx context.Context) error {
 	e.cooldownUntil = e.opts.Now() + resignCooldown
 	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true}
+	err := e.appendResignation(ctx, rec)
+	var conflict *cell.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	// The topic also ends elsewhere after a heartbeat, or this resignation, whose answer
+	// was lost.
+	isNewest, err := e.confirmLastOwner(ctx, rec.Instance)
+	switch {
+	case err != nil:
+		return err
+	case !isNewest:
+		return eris.Wrapf(ErrDeposed, "%s holds term %d", e.lastRecord.Node, e.lastRecord.Term)
+	case e.lastRecord.Resigned:
+		return nil
+	}
+	return e.appendResignation(ctx, rec)
+}
+
+// appendResignation appends a resignation at the end of the topic that this VM knows.
+// Resign calls it.
+func (e *Election) appendResignation(ctx context.Context, rec OwnerRecord) error {
 	end, err := e.appendRecord(ctx, rec)
 	if err != nil {
 		return err
--- a/internal/cell/election/resign_test.go
+++ b/internal/cell/election/resign_test.go
@@ -72,3 +72,28 @@
 	is.Equal(newest.Node, "b")
 	is.True(!newest.Resigned)
 }
+
+// conflictingStore answers appends with a conflict after it has executed them, as the slower one of two hedged calls is answered.
+type conflictingStore struct{ *cellstore.Store }
+
+func (s conflictingStore) Append(ctx context.Context, a cell.Append) (int64, error) {
+	end, err := s.Store.Append(ctx, a)
+	if err != nil {
+		return 0, err
+	}
+	return 0, &cell.ConflictError{End: end}
+}
+
+// TestHedgedResignationIsRecordedOnce guards against a resignation that counts as failed because its second copy was answered first.
+func TestHedgedResignationIsRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	e := loadedElection(t, store, "a")
+	_, _, err := e.claim(ctx)
+	is.NoErr(err)
+	e.store = conflictingStore{store}
+	is.NoErr(e.Resign(ctx))
+	is.True(loadedElection(t, store, "b").LastRecord().Resigned)
+	is.Equal(store.Len(cell.TopicOwner), int64(2))
+}
