Do not let a deposed owner resign for its successor

Callers saw nothing but a longer gap without an owner. Cause: after a heartbeat had found that another VM owns the cell, Resign still appended a resignation, at the end of the topic that it had just read and with the term of the successor, if the process was stopped or a worker had refused it at that moment. The successor then found the record of another process as the newest and gave the cell up.

Resign now returns ErrDeposed if the newest record that it knows is not its own. TestDeposedOwnerDoesNotResignForItsSuccessor failed before.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -462,9 +462,15 @@
 	})
 }
 
-// ErrDeposed is returned by SendHeartbeats when another VM owns the cell.
+// ErrDeposed is returned by SendHeartbeats and Resign when another VM owns the cell.
 var ErrDeposed = errors.New("another VM owns the cell")
 
+// deposedError returns an error that wraps ErrDeposed and names the owner of the newest
+// record.
+func (e *Election) deposedError() error {
+	return eris.Wrapf(ErrDeposed, "%s holds term %d", e.lastRecord.Node, e.lastRecord.Term)
+}
+
 // SendHeartbeats appends heartbeats until the context ends or another VM owns the
 // cell. Package node runs it after Campaign has returned a term, for as long as this
 // VM owns the cell. It returns ErrDeposed only if another VM owns the cell, else the
@@ -513,7 +519,7 @@
 	e.applyBatch(batch)
 	e.nextOffset = batch.Next
 	if !e.ownsLastRecord() {
-		return eris.Wrapf(ErrDeposed, "%s holds term %d", e.lastRecord.Node, e.lastRecord.Term)
+		return e.deposedError()
 	}
 	e.heartbeatOffset.Store(e.nextOffset)
 	e.opts.OnHeartbeat(sentAt)
@@ -526,6 +532,9 @@
 // claim for resignCooldown, unless a later owner resigns in its favour.
 func (e *Election) Resign(ctx context.Context) error {
 	e.cooldownUntil = e.opts.Now() + resignCooldown
+	if !e.ownsLastRecord() {
+		return e.deposedError()
+	}
 	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true}
 	err := e.appendResignation(ctx, rec)
 	var conflict *cell.ConflictError
@@ -539,7 +548,7 @@
 	case err != nil:
 		return err
 	case !isNewest:
-		return eris.Wrapf(ErrDeposed, "%s holds term %d", e.lastRecord.Node, e.lastRecord.Term)
+		return e.deposedError()
 	case e.lastRecord.Resigned:
 		return nil
 	}
--- a/internal/cell/election/resign_test.go
+++ b/internal/cell/election/resign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,3 +98,20 @@
 	is.True(loadedElection(t, store, "b").LastRecord().Resigned)
 	is.Equal(store.Len(cell.TopicOwner), int64(2))
 }
+
+// TestDeposedOwnerDoesNotResignForItsSuccessor guards against a deposed owner whose resignation ends the ownership of the VM that replaced it.
+func TestDeposedOwnerDoesNotResignForItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	a := loadedElection(t, store, "a")
+	_, _, err := a.claim(ctx)
+	is.NoErr(err)
+	b := loadedElection(t, store, "b")
+	_, won, err := b.claim(ctx)
+	is.NoErr(err)
+	is.True(won)
+	is.True(errors.Is(a.writeHeartbeat(ctx), ErrDeposed))
+	is.True(errors.Is(a.Resign(ctx), ErrDeposed))
+	is.NoErr(b.writeHeartbeat(ctx))
+}
