Resign when the store refuses the sequence number of a batch

Callers saw a cell in which nothing started or ended any more, while its owner kept it. Cause: an append of progress that the store refuses because of its sequence number is final for the term, but was repeated without end; heartbeats kept other VMs from claiming. The owner now resigns, as it does when another VM has fenced the topic, and the next term reads the state from the store.

TestOwnerWhoseBatchesAreOutOfSequenceResigns failed before (a minute without the end of the ownership) and passes now.

--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -120,8 +120,9 @@
 
 // flushResult is the result of appending a batch of progress records.
 type flushResult struct {
-	batch    int
-	isFenced bool
+	batch int
+	// refused is why the store accepts no batch of this term, or "".
+	refused string
 	// sentAt is the boot time at which the accepted append was sent.
 	sentAt time.Duration
 }
@@ -201,8 +202,8 @@
 			}
 		case o := <-c.flushResults:
 			c.isFlushing = false
-			if o.isFenced {
-				c.resignReason = "another VM has fenced topic progress"
+			if o.refused != "" {
+				c.resignReason = o.refused
 				break
 			}
 			c.apply(ctx, owner.HeartbeatStored{SentAt: o.sentAt})
@@ -431,7 +432,7 @@
 }
 
 // writeBatch appends a batch and retries until the store has accepted it, the
-// store has fenced this owner or ctx ends. The sequence number makes a
+// store accepts no batch of this term or ctx ends. The sequence number makes a
 // repeated append harmless. flush starts it on its own goroutine, one batch at
 // a time.
 func (c *controlLoop) writeBatch(ctx context.Context, records []cell.KeyValue, number int, sequence int64) {
@@ -442,8 +443,8 @@
 			c.flushResults <- flushResult{batch: number, sentAt: sentAt}
 			return
 		}
-		if errors.Is(err, cell.ErrFenced) {
-			c.flushResults <- flushResult{isFenced: true}
+		if reason := refusalOfTerm(err); reason != "" {
+			c.flushResults <- flushResult{refused: reason}
 			return
 		}
 		if attempt > 0 {
@@ -453,6 +454,20 @@
 	}
 }
 
+// refusalOfTerm returns why an error of an append means that the store accepts no
+// batch of this term any more, or "". writeBatch calls it after each failed attempt.
+func refusalOfTerm(err error) string {
+	var sequence *cell.SequenceError
+	switch {
+	case errors.Is(err, cell.ErrFenced):
+		return "another VM has fenced topic progress"
+	case errors.As(err, &sequence):
+		return sequence.Error()
+	default:
+		return ""
+	}
+}
+
 // appendProgress makes one attempt to append a batch of progress records,
 // within timeout. writeBatch calls it for each attempt.
 func (c *controlLoop) appendProgress(ctx context.Context, records []cell.KeyValue, sequence int64, timeout time.Duration) error {
--- a/internal/cell/node/resign_test.go
+++ b/internal/cell/node/resign_test.go
@@ -106,3 +106,21 @@
 	submitAndCancel(t, n, "0000000000000002")
 	waitFor(t, "the progress of the second ownership", func() bool { return hasRecordedProgress(t, store, "0000000000000002") })
 }
+
+// outOfSequenceStore refuses the progress of an owner because of its sequence number.
+type outOfSequenceStore struct{ cell.Store }
+
+func (s outOfSequenceStore) Append(ctx context.Context, a cell.Append) (int64, error) {
+	if a.Topic == cell.TopicProgress && len(a.Records) > 0 {
+		return 0, &cell.SequenceError{Expected: a.Sequence + 7}
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// TestOwnerWhoseBatchesAreOutOfSequenceResigns guards against an owner that keeps the cell although it can record nothing.
+func TestOwnerWhoseBatchesAreOutOfSequenceResigns(t *testing.T) {
+	n := startSingleNode(t, outOfSequenceStore{&cellstore.Store{}})
+	first := n.activeLoop()
+	submitAndCancel(t, n, "0000000000000001")
+	waitFor(t, "the end of the ownership", func() bool { return n.activeLoop() != first })
+}
