Show that a VM that has not read the owner's record uses its term again

Cause: Election.checkOwner advances nextOffset to the offset that the present owner reports, also past records of that owner which were never read. lastRecord stays that of an earlier owner, and the next claim takes its term plus one, which is the term of the present owner.

--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -296,3 +297,47 @@
 	is.NoErr(e.writeHeartbeat(context.Background()))
 	is.Equal(sentAt, time.Hour+8*time.Second)
 }
+
+// statusOf returns what the owner reports about itself to other VMs.
+func statusOf(owner *Election) OwnerStatus {
+	return OwnerStatus{Healthy: true, HeartbeatOffset: owner.HeartbeatOffset()}
+}
+
+// TestTermOfAnUnreadOwnerIsNotUsedAgain guards against two owners of one term: a VM that
+// learned of the present owner from the owner itself, while it could not read the store,
+// claims the cell after the owner has failed.
+func TestTermOfAnUnreadOwnerIsNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		store := &cellstore.Store{}
+		a := loadedElection(t, store, "a")
+		_, _, err := a.claim(ctx)
+		is.NoErr(err)
+		var status atomic.Pointer[OwnerStatus]
+		setStatus := func(s OwnerStatus) { status.Store(&s) }
+		setStatus(statusOf(a))
+		c := newElection(store, "c")
+		c.opts.OwnerStatus = func() OwnerStatus { return *status.Load() }
+		term := make(chan int64, 1)
+		go func() {
+			won, _ := c.Campaign(ctx)
+			term <- won
+		}()
+		time.Sleep(time.Second)
+		b := loadedElection(t, store, "b")
+		_, won, err := b.claim(ctx)
+		is.NoErr(err)
+		is.True(won)
+		store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Refuse })
+		setStatus(OwnerStatus{}) // c has learned that b is the owner
+		time.Sleep(time.Second)
+		setStatus(statusOf(b))
+		time.Sleep(time.Second)
+		store.SetFault(nil)
+		time.Sleep(time.Second)
+		setStatus(OwnerStatus{}) // b has failed
+		is.Equal(<-term, int64(3))
+	})
+}
