Take an owner's status only for the owner whose record was read

Callers saw: accepted jobs that never start. Two owners with one term share the fencing token and the epoch of the progress topic; the second one starts its batches at number 0, which the store refuses or answers as a repetition. Cause: a VM whose reads of the store fail while the owner changes learns of the new owner from other VMs. The status of that owner then moved the read position past its claim, so that the next claim of this VM took its term again. This needs failing reads during a change, and an owner that fails without a record after its last status. Change: OwnerStatus carries the term and the instance of its sender, and checkOwner ignores the status of an owner other than the last one read; it reads the topic instead, which holds the missing records. The answer to a hello message reports the owner after the offset. TestHealthyOwnerCausesNoReads now names the owner in its status; what it checks is unchanged.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -96,6 +96,9 @@
 // OwnerStatus is what the owner reported about itself; the zero value if nothing
 // is known.
 type OwnerStatus struct {
+	// Term and Instance identify the owner that sent the status.
+	Term     int64
+	Instance string
 	// Healthy is true if the owner answered lately and the store accepts its
 	// heartbeats.
 	Healthy bool
@@ -265,7 +268,7 @@
 		// The owner was an earlier process of this VM, which has ended.
 		return e.confirmLastOwner(ctx, e.lastRecord.Instance)
 	}
-	status := e.opts.OwnerStatus()
+	status := e.lastOwnerStatus()
 	if status.Healthy {
 		e.nextOffset = max(e.nextOffset, status.HeartbeatOffset)
 		return e.waitForSuspicion(ctx, ownerCheckInterval)
@@ -284,6 +287,17 @@
 	return e.waitForHeartbeat(ctx, wait)
 }
 
+// lastOwnerStatus returns the status of the owner that wrote lastRecord, or the zero
+// value if that of another owner is known. The offset of another owner would skip its
+// records, so that a later claim takes its term again. checkOwner calls it.
+func (e *Election) lastOwnerStatus() OwnerStatus {
+	status := e.opts.OwnerStatus()
+	if status.Term != e.lastRecord.Term || status.Instance != e.lastRecord.Instance {
+		return OwnerStatus{}
+	}
+	return status
+}
+
 // waitForSuspicion waits until an owner is suspected or the time is up. It reports the
 // owner down if the suspected process wrote the newest record. checkOwner calls it
 // while the owner is healthy, waitForHeartbeat after a read that ended early.
--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -192,7 +192,7 @@
 	_, _, err := loadedElection(t, store, "a").claim(context.Background())
 	is.NoErr(err)
 	b := loadedElection(t, store, "b")
-	b.opts.OwnerStatus = func() OwnerStatus { return OwnerStatus{Healthy: true, HeartbeatOffset: 9} }
+	b.opts.OwnerStatus = func() OwnerStatus { return OwnerStatus{Term: 1, Instance: "a-1", Healthy: true, HeartbeatOffset: 9} }
 	store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Refuse })
 	ownerDown, err := b.checkOwner(context.Background())
 	is.NoErr(err)
@@ -300,7 +300,7 @@
 
 // statusOf returns what the owner reports about itself to other VMs.
 func statusOf(owner *Election) OwnerStatus {
-	return OwnerStatus{Healthy: true, HeartbeatOffset: owner.HeartbeatOffset()}
+	return OwnerStatus{Term: owner.LastRecord().Term, Instance: owner.LastRecord().Instance, Healthy: true, HeartbeatOffset: owner.HeartbeatOffset()}
 }
 
 // TestTermOfAnUnreadOwnerIsNotUsedAgain guards against two owners of one term: a VM that
--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -34,8 +34,9 @@
 // ownerReply is the owner's last answer to a hello message.
 type ownerReply struct {
 	receivedAt time.Duration
-	// instance is the process that answered.
+	// instance is the process that answered, term the term that it held.
 	instance        string
+	term            int64
 	isHealthy       bool
 	heartbeatOffset int64
 	// hasMissedHello is true if a later hello message was not answered.
@@ -73,7 +74,7 @@
 	if reply == nil {
 		return nil
 	}
-	return &ownerReply{receivedAt: reply.receivedAt, instance: reply.instance, heartbeatOffset: reply.heartbeatOffset, hasMissedHello: true}
+	return &ownerReply{receivedAt: reply.receivedAt, instance: reply.instance, term: reply.term, heartbeatOffset: reply.heartbeatOffset, hasMissedHello: true}
 }
 
 // ownerStatus returns what the owner last reported to this VM, as the election
@@ -93,7 +94,10 @@
 		// Age of this answer must not shorten it.
 		return election.OwnerStatus{}
 	}
-	return election.OwnerStatus{Healthy: reply.isHealthy && isFresh, HeartbeatOffset: reply.heartbeatOffset, Age: age}
+	return election.OwnerStatus{
+		Term: reply.term, Instance: reply.instance,
+		Healthy: reply.isHealthy && isFresh, HeartbeatOffset: reply.heartbeatOffset, Age: age,
+	}
 }
 
 // addPeer adds a VM to the known VMs and reports whether it is new. It runs
@@ -167,7 +171,7 @@
 	if resp.Owner == nil || resp.Owner.Instance != resp.Instance {
 		return false
 	}
-	n.ownerReply.Store(&ownerReply{receivedAt: bootTime(), instance: resp.Instance, isHealthy: resp.Well, heartbeatOffset: resp.Offset})
+	n.ownerReply.Store(&ownerReply{receivedAt: bootTime(), instance: resp.Instance, term: resp.Owner.Term, isHealthy: resp.Well, heartbeatOffset: resp.Offset})
 	return true
 }
 
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -121,7 +121,7 @@
 // on a VM that is not the owner while it knows no owner that answers.
 func (s *rpcServer) Hello(ctx context.Context, req *cellpb.HelloRequest) (*cellpb.HelloResponse, error) {
 	n := s.node
-	resp := &cellpb.HelloResponse{Instance: n.instance, Owner: n.ownerToProto()}
+	resp := &cellpb.HelloResponse{Instance: n.instance}
 	if config := n.config.Load(); config != nil {
 		resp.ConfigVersion = config.Version
 	}
@@ -139,6 +139,8 @@
 		resp.Well = n.hasRecentHeartbeat()
 		resp.Offset = n.election.HeartbeatOffset()
 	}
+	// Read after the offset: a later offset with an earlier term would skip records.
+	resp.Owner = n.ownerToProto()
 	c := n.activeLoop()
 	if c == nil {
 		return resp, nil
