Pass on a cancellation that reached the owner before its job

Callers saw: a job whose cancellation was acknowledged runs, while it is shown as cancelled. Cause: VMs append directly when the owner is late or does not answer, and notify it afterwards. A cancellation at another VM, which finds the job in the store, goes through the owner and can arrive before the notification. Reloading topic jobs after the store has dropped its history has the same order, since the keys of cancellations come before those of submissions. The state machine ignores the cancellation of an unknown job. Change: with a new submission the owner also posts the cancellation that its replica holds. It works since the replica is updated before the record is posted, so that whichever of the two records comes second posts both.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -438,6 +438,10 @@
 		// record is either in the replica by then or posted to the loop.
 		if c := n.activeLoop(); c != nil && applied.isNew {
 			c.postRecord(r, n.log)
+			if r.Kind == cell.RecordJob && n.replica.isCancelled(r.Job) {
+				// The state machine ignored the cancellation while it did not know the job.
+				c.postRecord(cell.Record{Job: r.Job, Kind: cell.RecordCancel}, n.log)
+			}
 		}
 	}
 	return hasNew
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -196,6 +196,7 @@
 // deleteSubmissions calls it on the owner for each finished job whose
 // submission it deletes: if there is a cancellation, its record is deleted too,
 // and if there is none, no deletion is appended for a key that does not exist.
+// applyJobRecords calls it on the owner for each new submission.
 func (r *replica) isCancelled(id cell.JobID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
