Take the offset after its claim as the term of an ownership

Callers saw accepted jobs that never ran: two ownerships that share a term share the fencing token at the workers and the epoch of the batches, and the store takes the batches of the second for repetitions. Two ways led there, both mended before: an ended term was owned again, and a VM claimed the cell without having read the record of the last owner, with the number after that of the one before.

Change: the term was the former term plus one, which depends on what the claimant has read. It is now the offset after the claim. The store accepts a claim at one offset only, so no two claims share a term, whatever their VMs know.

TestClaimOverAnUnreadOwnerHasAnotherTerm fails with the former rule (checked by putting it back) and passes.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -8,8 +8,9 @@
 // VMs: the caller reports through Options.OwnerStatus what it received from the
 // owner. Read Election first.
 //
-// A term is the number of one ownership period: each claim takes the next one. The
-// same number is the owner's fencing token in requests to workers and the epoch of
+// A term is the number of one ownership period: the offset after its claim, so that a
+// later claim has a higher one, also that of a VM which has not read all claims before.
+// The same number is the owner's fencing token in requests to workers and the epoch of
 // its appends of progress. An instance is one process of a VM; a VM that restarts
 // has the same address and a new instance. The newest owner record in the topic says which
 // instance owns the cell, in which term, and whether it has resigned; claims,
@@ -413,10 +414,10 @@
 	return e.lastRecord.Instance == e.opts.Instance && !e.lastRecord.Resigned
 }
 
-// claim appends a claim of the next term and reports whether this VM won it. Campaign
+// claim appends a claim of a new term and reports whether this VM won it. Campaign
 // calls it once the owner is down and no other VM has claimed the cell.
 func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
-	rec := OwnerRecord{Term: e.lastRecord.Term + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
+	rec := OwnerRecord{Term: max(e.lastRecord.Term, e.nextOffset) + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	var conflict *cell.ConflictError
--- a/internal/cell/election/resign_test.go
+++ b/internal/cell/election/resign_test.go
@@ -115,3 +115,22 @@
 	is.True(errors.Is(a.Resign(ctx), ErrDeposed))
 	is.NoErr(b.writeHeartbeat(ctx))
 }
+
+// TestClaimOverAnUnreadOwnerHasAnotherTerm guards against two owners of one term when a claim follows records that its VM has not read.
+func TestClaimOverAnUnreadOwnerHasAnotherTerm(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	a := loadedElection(t, store, "a")
+	_, _, err := a.claim(ctx)
+	is.NoErr(err)
+	c := loadedElection(t, store, "c")
+	term, won, err := loadedElection(t, store, "b").claim(ctx)
+	is.NoErr(err)
+	is.True(won)
+	c.nextOffset = store.Len(cell.TopicOwner)
+	again, won, err := c.claim(ctx)
+	is.NoErr(err)
+	is.True(won)
+	is.True(again > term)
+}
