Show that a takeover drops the progress of an occurrence that is not due yet

Cause: addJob restores the recorded progress only of the occurrences that it releases, and releases those that are due by the clock of the new owner. The rest is released later without progress.

--- a/internal/cell/owner/record_test.go
+++ b/internal/cell/owner/record_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
 )
 
 // TestBatchStaysWithinTheLimitOfTheStore guards the end of a long outage: the changes
@@ -45,3 +47,25 @@
 	}
 	is.Equal(len(seen), jobs)
 }
+
+// TestRecordedOccurrenceIsRestoredBeforeItIsDue guards against tasks that run again after
+// a takeover by a VM whose clock is behind: an occurrence that the former owner had
+// released is not due yet for the new owner.
+func TestRecordedOccurrenceIsRestoredBeforeItIsDue(t *testing.T) {
+	f := newFixture(t, 4000)
+	j := newJob("a", cell.Step{Count: 2, Need: structs.Resources{MilliCPU: 500}})
+	j.Repeat, j.Interval, j.FirstDueAt = 2, time.Second, f.time().Wall
+	f.apply(JobSubmitted{Job: j, Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
+		{Occurrence: 0, DoneTasks: "11", LastRun: 2},
+		{Occurrence: 1, DoneTasks: "10", LastRun: 4, OpenRuns: []cell.OpenRun{{Index: 1, Run: 4, Worker: "w", Born: 1}}},
+	}}})
+	if stops := actionsOf[SendStop](f); len(stops) > 0 {
+		t.Errorf("%s run %d is stopped", stops[0].Stop.Task, stops[0].Stop.Run)
+	}
+	f.now += 2 * time.Second
+	f.apply(Tick{})
+	f.scheduleAndRecord()
+	for _, a := range actionsOf[SendStart](f) {
+		t.Errorf("%s is started again as run %d", a.Start.Task, a.Start.Run)
+	}
+}
