Restore the progress of occurrences that the new owner's clock puts ahead

Cause: a new owner released occurrences by its own clock and restored the progress of these only. An occurrence that the former owner had released was added later without its progress, and the next record of the job dropped it. Change: addJob first releases all occurrences up to the last one with recorded progress, with that progress, and then those that are due. It works since occurrences are released in order, so that all before a recorded one were released too.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -137,19 +137,35 @@
 	if e.Job.Repeat > 0 {
 		m.recurringJobs[e.Job.ID] = j
 	}
-	m.releaseOccurrences(j, e.Progress)
+	m.restoreOccurrences(j, e.Progress)
+	m.releaseOccurrences(j)
 	m.recoverRuns(j, e.Progress)
 	m.queueReadySteps(j)
 	m.completeIfDone(j)
 	m.isCycleNeeded = true
 }
 
+// restoreOccurrences releases the occurrences up to the last one with recorded progress.
+// The former owner has released them, also if they are not due yet by the clock of this
+// VM: their progress would be lost otherwise. addJob calls it.
+func (m *Machine) restoreOccurrences(j *job, progress *cell.Progress) {
+	if progress == nil {
+		return
+	}
+	recorded := 0
+	for _, p := range progress.Steps {
+		recorded = max(recorded, p.Occurrence+1)
+	}
+	for j.releasedOccurrences < min(recorded, j.def.Occurrences()) {
+		m.releaseOccurrence(j, j.releasedOccurrences, progress)
+	}
+}
+
 // releaseOccurrences creates the steps of every occurrence of a job that is
 // due. It runs when the job is added and, for repeated jobs, on each Tick.
-func (m *Machine) releaseOccurrences(j *job, progress *cell.Progress) {
+func (m *Machine) releaseOccurrences(j *job) {
 	for j.releasedOccurrences < j.def.Occurrences() && m.isDue(j, j.releasedOccurrences) && j.hasRoomForOccurrence() {
-		m.releaseOccurrence(j, j.releasedOccurrences, progress)
-		j.releasedOccurrences++
+		m.releaseOccurrence(j, j.releasedOccurrences, nil)
 	}
 	if j.releasedOccurrences == j.def.Occurrences() {
 		delete(m.recurringJobs, j.def.ID)
@@ -178,8 +194,8 @@
 }
 
 // releaseOccurrence creates the steps of one occurrence and restores what
-// progress holds about them; progress is nil for an occurrence that becomes
-// due after the job was added. releaseOccurrences calls it.
+// progress holds about them; progress is nil for an occurrence that the
+// former owner had not released. restoreOccurrences and releaseOccurrences call it.
 func (m *Machine) releaseOccurrence(j *job, occurrence int, progress *cell.Progress) {
 	open := false
 	for i := range j.def.Steps {
@@ -199,6 +215,7 @@
 	if open {
 		j.openOccurrences++
 	}
+	j.releasedOccurrences++
 }
 
 // restoreStep sets the done tasks, failed runs and last run number of a new
@@ -284,7 +301,7 @@
 func (m *Machine) releaseDueOccurrences() {
 	for _, j := range m.recurringJobs {
 		before := j.releasedOccurrences
-		m.releaseOccurrences(j, nil)
+		m.releaseOccurrences(j)
 		if j.releasedOccurrences > before {
 			m.queueReadySteps(j)
 			m.isCycleNeeded = true
