Show that a small VM does not know all jobs when it owns the cell again

Cause: a VM that is no follower removes old jobs from its replica while it does not own the cell, and those whose submission it has not seen within 10 s. A takeover reads topics jobs and progress from the position of the last read, so that what was removed does not come back.

--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"testing"
 
@@ -43,3 +44,34 @@
 	is.Equal(len(records), 1)
 	is.Equal(cell.State(records[0].Value[0]), cell.StateCancelled)
 }
+
+// TestSecondOwnershipOfASmallVMKnowsAllJobs guards against jobs that are never run, and
+// states that are answered 410, after a VM that is no follower has owned the cell, has
+// removed old jobs from its replica and owns the cell again.
+func TestSecondOwnershipOfASmallVMKnowsAllJobs(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "lasts"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("ended"), Value: completed})
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: minFollowerCores / 2}, Ports{Store: store}, io.Discard)
+	n.config.Store(&cell.Config{Version: 1})
+	for term := range int64(2) {
+		c := newControlLoop(n, term+1)
+		is.NoErr(n.takeOver(ctx, c))
+		if _, known := n.replica.state("ended"); !known {
+			t.Errorf("term %d: the state of the job that has ended is not known", term+1)
+		}
+		if tasks := c.machine.Load().WaitingTasks; tasks != 1 {
+			t.Errorf("term %d: %d tasks of the unfinished job wait", term+1, tasks)
+		}
+		n.setLoop(nil)
+		n.replica.forgetBefore(bootTime())
+	}
+}
