Load all jobs again at each takeover by a small VM

Callers saw: a job of over status_s + 30 s that nobody runs any more, and 410 for a job that has ended within status_s, once a VM that is no follower owned the cell a second time. Cause: while such a VM does not own the cell it removes jobs from its replica, since it does not read topic progress: at once those of which it has seen no submission, the others after status_s + 30 s. The next takeover continued to read behind them. Change: a takeover by a VM that is no follower empties the replica and loads both topics from their newest records. A job that a caller of this VM adds meanwhile is in the store before it is in the replica, so that it is kept.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -106,6 +106,9 @@
 func (n *Node) takeOver(ctx context.Context, c *controlLoop) error {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
+	if !isFollower(n.settings) {
+		n.unloadTopics()
+	}
 	steps := []struct {
 		name string
 		do   func(context.Context) error
@@ -132,6 +135,16 @@
 	return nil
 }
 
+// unloadTopics empties the replica and makes the readers of its topics load them again.
+// A VM that is no follower has removed jobs from its replica (forgetBefore) that the
+// topics still hold. What callers of this VM add meanwhile is in the store already, so
+// that it is loaded too. takeOver calls it.
+func (n *Node) unloadTopics() {
+	n.progressReader.unload(func() {
+		n.jobsReader.unload(n.replica.clear)
+	})
+}
+
 // requireConfig fails while no configuration is known. It is the last step of
 // a takeover, which retries it after a failure.
 func (n *Node) requireConfig(context.Context) error {
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -301,6 +301,14 @@
 	}
 }
 
+// clear removes all jobs. A takeover calls it before it loads the topics on a VM that is
+// no follower.
+func (r *replica) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs, r.unfinished = map[cell.JobID]*jobEntry{}, map[cell.JobID]*jobEntry{}
+}
+
 // size returns the number of known jobs. The metrics endpoint calls it for
 // each request.
 func (r *replica) size() int {
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -64,6 +64,15 @@
 	return nil
 }
 
+// unload makes the next read load the newest records again. forget removes what was
+// applied, and runs while no read does. A takeover calls it on a VM that is no follower.
+func (t *topicReader) unload(forget func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isLoaded.Store(false)
+	forget()
+}
+
 // read reads once from the current position, and reports whether more records
 // follow. The first read, and one whose position the store no longer keeps,
 // loads the newest records. The goroutine that polls the topic calls it, and
