Show that a follower without reads reports that a job does not exist

Cause: the State RPC answers with follows for as long as both topics have been loaded once, however old the last read is.

--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/standin/cellstore"
 )
 
@@ -75,3 +77,32 @@
 		n.replica.forgetBefore(bootTime())
 	}
 }
+
+// newFollower returns a follower that has read topics jobs and progress.
+func newFollower(t *testing.T, store cell.Store) *Node {
+	t.Helper()
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: store}, io.Discard)
+	for _, reader := range []*topicReader{n.jobsReader, n.progressReader} {
+		if err := reader.readToEnd(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return n
+}
+
+// TestFollowerThatCannotReadProvesNoAbsence guards against 410 for an accepted job: a VM
+// that does not know all jobs asks the followers while there is no owner, and one of them
+// has not been able to read the store since the job was accepted.
+func TestFollowerThatCannotReadProvesNoAbsence(t *testing.T) {
+	is := is.New(t)
+	n := newFollower(t, &cellstore.Store{})
+	ask := func() bool {
+		resp, err := (&rpcServer{node: n}).State(context.Background(), &cellpb.StateRequest{Job: "a"})
+		is.NoErr(err)
+		is.Equal(resp.State, "")
+		return resp.Follows
+	}
+	is.True(ask())
+	n.jobsReader.lastReadAt.Store(int64(bootTime() - 3*time.Second))
+	is.True(!ask())
+}
