Let a follower report a job as absent only after a recent read

Callers saw: 410 for an accepted job, from a VM that does not know all jobs, while there is no owner that answers and the followers cannot read the store. Cause: a follower whose reads fail knows nothing of jobs accepted since, but answered the State RPC as one that knows all jobs. One such answer is enough for 410 if no other follower answers in 0.3 s. Change: topicReader keeps when its last read to the end of the topic was sent. A VM whose last such read of the jobs is over 2.5 s old reports states that it knows, and nothing about others; the caller then gets 503. It works since visible_ms is 3 s: what a read did not return was acknowledged less than that before the answer.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -260,6 +260,16 @@
 	return n.activeLoop() != nil || isFollower(n.settings) && n.jobsReader.isLoaded.Load() && n.progressReader.isLoaded.Load()
 }
 
+// maxAbsenceAge is the age of the last read of the jobs from which this VM no longer
+// reports to others that a job does not exist. Jobs must be visible after 3 s.
+const maxAbsenceAge = 2500 * time.Millisecond
+
+// provesAbsence reports whether a job that this VM does not know does not exist. The
+// State RPC calls it on a VM that knows all jobs.
+func (n *Node) provesAbsence() bool {
+	return bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
+}
+
 // claimDelay returns how long a VM waits before it claims the cell. VMs with
 // more CPU capacity wait less. New computes it once.
 func claimDelay(s Settings) time.Duration {
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -32,13 +32,18 @@
 var _ cellpb.Cell = (*rpcServer)(nil)
 
 // State implements cellpb.Cell. It returns a state only if this VM knows all
-// jobs. Another VM calls it when a caller asks that VM for a job's state or
-// cancels the job.
+// jobs, and reports an unknown job as absent only if that is proven. Another VM
+// calls it when a caller asks that VM for a job's state or cancels the job.
 func (s *rpcServer) State(_ context.Context, req *cellpb.StateRequest) (*cellpb.StateResponse, error) {
 	resp := &cellpb.StateResponse{Follows: s.node.knowsAllJobs()}
-	if state, known := s.node.replica.state(cell.JobID(req.Job)); known && resp.Follows {
+	if !resp.Follows {
+		return resp, nil
+	}
+	if state, known := s.node.replica.state(cell.JobID(req.Job)); known {
 		resp.State = string(state)
+		return resp, nil
 	}
+	resp.Follows = s.node.provesAbsence()
 	return resp, nil
 }
 
--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -103,6 +103,6 @@
 		return resp.Follows
 	}
 	is.True(ask())
-	n.jobsReader.lastReadAt.Store(int64(bootTime() - 3*time.Second))
+	n.jobsReader.lastSentAt.Store(int64(bootTime() - 3*time.Second))
 	is.True(!ask())
 }
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -43,6 +43,9 @@
 	isLoaded   atomic.Bool
 	// lastReadAt is the boot time of the last successful read.
 	lastReadAt atomic.Int64
+	// lastSentAt is the boot time at which the last successful read was sent: it
+	// reached the end of the topic, so that everything before it has been applied.
+	lastSentAt atomic.Int64
 	// isFailing is true after a read that failed, so that only changes are
 	// logged.
 	isFailing atomic.Bool
@@ -51,6 +54,7 @@
 // loadNewest reads the newest record of each key and sets the position behind
 // them. read calls it, with t.mu held, at the first read and after ErrExpired.
 func (t *topicReader) loadNewest(ctx context.Context) error {
+	sentAt := bootTime()
 	batch, err := t.store.Newest(ctx, t.topic)
 	if err != nil {
 		return err
@@ -59,7 +63,7 @@
 	t.apply(batch.Records)
 	t.nextOffset.Store(max(batch.Next, 0))
 	t.isLoaded.Store(true)
-	t.lastReadAt.Store(int64(bootTime()))
+	t.recordRead(sentAt)
 	t.log("topic is loaded", "topic", string(t.topic), "records", len(batch.Records), "next", batch.Next)
 	return nil
 }
@@ -83,6 +87,7 @@
 	if !t.isLoaded.Load() {
 		return true, t.loadNewest(ctx)
 	}
+	sentAt := bootTime()
 	batch, err := t.store.Read(ctx, t.topic, t.nextOffset.Load(), wait)
 	if errors.Is(err, cell.ErrExpired) {
 		return true, t.loadNewest(ctx)
@@ -93,8 +98,19 @@
 	t.logUnreadable(batch)
 	t.apply(batch.Records)
 	t.nextOffset.Store(batch.Next)
+	if batch.Next < batch.End {
+		t.lastReadAt.Store(int64(bootTime()))
+		return true, nil
+	}
+	t.recordRead(sentAt)
+	return false, nil
+}
+
+// recordRead records a read to the end of the topic that was sent at sentAt. read and
+// loadNewest call it once its records are applied.
+func (t *topicReader) recordRead(sentAt time.Duration) {
+	t.lastSentAt.Store(int64(sentAt))
 	t.lastReadAt.Store(int64(bootTime()))
-	return batch.Next < batch.End, nil
 }
 
 // readToEnd reads until no more records follow. A new owner calls it for
