Show that a job that ends during a load of the topics is absent

Cause: the two topics are loaded independently. A job that ends and whose submission is deleted between the load of the progress and that of the jobs is in neither, until the next read of the progress 0.9 s later. Measured: the state of the job is answered as not known, without an error.

--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -106,3 +106,34 @@
 	n.jobsReader.lastSentAt.Store(int64(bootTime() - 3*time.Second))
 	is.True(!ask())
 }
+
+// TestEndedJobIsNotAbsentAfterALoad guards against 410 for a job that ended while a VM
+// loaded the topics: its submission was deleted before the load of the jobs, and its
+// state was recorded after that of the progress.
+func TestEndedJobIsNotAbsentAfterALoad(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: store}, io.Discard)
+	is.NoErr(n.progressReader.readToEnd(ctx))
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "a"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("a"), Value: completed})
+	write(cell.TopicJobs, cell.KeyValue{Key: cell.JobKey("a")})
+	is.NoErr(n.jobsReader.readToEnd(ctx))
+	_, known, err := n.State(ctx, "a")
+	is.True(known || err != nil) // no 410
+	resp, err := (&rpcServer{node: n}).State(ctx, &cellpb.StateRequest{Job: "a"})
+	is.NoErr(err)
+	is.True(resp.State != "" || !resp.Follows)
+	is.NoErr(n.progressReader.readToEnd(ctx))
+	state, known, err := n.State(ctx, "a")
+	is.NoErr(err)
+	is.True(known)
+	is.Equal(state, cell.StateCompleted)
+}
