Prove that a job does not exist only with progress read after the jobs

Callers saw: 410 for a job that has just ended, from a VM that has just started or has loaded the topics again, if the owner does not answer it. Cause: topics jobs and progress are loaded independently. The submission of an ended job is deleted, so that a load of the jobs does not show it; its state was recorded before, but possibly after the load of the progress. Change: a VM other than the owner needs a read of the progress that was sent after its last load of the jobs. Until then it answers 503 for a job that it does not know, and does not report its absence to other VMs. It works since a submission is deleted only after the final state is recorded.

--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -176,6 +176,10 @@
 	if state, known := n.replica.state(id); known {
 		return state, true, nil
 	}
+	if !found && !n.hasReadProgress() {
+		n.countRequest("state", "unknown")
+		return 0, false, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("topic progress was not read since the jobs were loaded")}
+	}
 	return cell.StateQueued, found, nil
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -267,7 +267,15 @@
 // provesAbsence reports whether a job that this VM does not know does not exist. The
 // State RPC calls it on a VM that knows all jobs.
 func (n *Node) provesAbsence() bool {
-	return bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
+	return n.hasReadProgress() && bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
+}
+
+// hasReadProgress reports whether this VM has read topic progress since it loaded the
+// jobs. Before that it does not know a job that has ended and whose submission was
+// deleted before the load. The owner has read it in its takeover, after it had fenced
+// the former owner.
+func (n *Node) hasReadProgress() bool {
+	return n.activeLoop() != nil || n.progressReader.lastSentAt.Load() >= n.jobsReader.loadedAt.Load()
 }
 
 // claimDelay returns how long a VM waits before it claims the cell. VMs with
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -46,6 +46,8 @@
 	// lastSentAt is the boot time at which the last successful read was sent: it
 	// reached the end of the topic, so that everything before it has been applied.
 	lastSentAt atomic.Int64
+	// loadedAt is the boot time at which the newest records were last loaded.
+	loadedAt atomic.Int64
 	// isFailing is true after a read that failed, so that only changes are
 	// logged.
 	isFailing atomic.Bool
@@ -63,6 +65,7 @@
 	t.apply(batch.Records)
 	t.nextOffset.Store(max(batch.Next, 0))
 	t.isLoaded.Store(true)
+	t.loadedAt.Store(int64(bootTime()))
 	t.recordRead(sentAt)
 	t.log("topic is loaded", "topic", string(t.topic), "records", len(batch.Records), "next", batch.Next)
 	return nil
