Show that an ended job is taken for a new one after its state has expired

Cause: a submission that is appended again after its deletion stays in the store, since the owner deletes submissions only when a job ends and at a takeover. Once the state has expired, a VM that loads the topics finds a submission without a state. What collectGarbage does on the owner is a function of its own, deleteExpired.

--- a/internal/cell/node/gc.go
+++ b/internal/cell/node/gc.go
@@ -37,11 +37,16 @@
 			}
 			continue
 		}
-		cutoff := bootTime() - n.settings.StatusRetention - retentionSlack
-		ids := n.replica.expiredStates(int64(cutoff.Seconds()), maxStatesPerGC)
-		if len(ids) > 0 {
-			n.deleteStates(ctx, ids)
-		}
+		n.deleteExpired(ctx, bootTime()-n.settings.StatusRetention-retentionSlack)
+	}
+}
+
+// deleteExpired deletes the states of jobs that ended before a boot time. collectGarbage
+// calls it on the owner.
+func (n *Node) deleteExpired(ctx context.Context, cutoff time.Duration) {
+	ids := n.replica.expiredStates(int64(cutoff.Seconds()), maxStatesPerGC)
+	if len(ids) > 0 {
+		n.deleteStates(ctx, ids)
 	}
 }
 
--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -137,3 +137,31 @@
 	is.True(known)
 	is.Equal(state, cell.StateCompleted)
 }
+
+// TestExpiredJobIsNotTakenOver guards against a job that runs again after its state has
+// expired: its submission was appended once more after it had been deleted, by a VM that
+// did not know the job or by an append that the store executed late.
+func TestExpiredJobIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "a"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("a"), Value: completed})
+	write(cell.TopicJobs, cell.KeyValue{Key: cell.JobKey("a")})
+	write(cell.TopicJobs, recordOf(t, "a"))
+	n := newFollower(t, store)
+	for range 3 {
+		n.deleteExpired(ctx, bootTime()+time.Hour)
+		is.NoErr(n.jobsReader.readToEnd(ctx))
+	}
+	_, known := n.replica.state("a")
+	is.True(!known)
+	restarted := newFollower(t, store)
+	is.Equal(len(restarted.replica.unfinishedJobs(func(cell.JobID, error) {})), 0)
+}
