Delete a submission that was appended again before the state expires

Callers saw: a job that has ended runs again, status_s + 30 s later, after VMs have started again. Cause: a caller's repeated request at a VM that does not know the job appends the submission again, and so does an append without an answer that the store executes seconds later. If the owner had deleted the submission by then, it stayed in the store until the next takeover, and the state expired before. Change: deleteExpired deletes the submissions of expired jobs first; their states follow in a later call, once the owner has read the deletion.

--- a/internal/cell/node/gc.go
+++ b/internal/cell/node/gc.go
@@ -41,12 +41,19 @@
 	}
 }
 
-// deleteExpired deletes the states of jobs that ended before a boot time. collectGarbage
-// calls it on the owner.
+// deleteExpired deletes the states of jobs that ended before a boot time. The submission
+// of such a job is in the store if it was appended again after its deletion; it is deleted
+// first, and the state in a later call, since without its state it is that of a new job.
+// collectGarbage calls deleteExpired on the owner.
 func (n *Node) deleteExpired(ctx context.Context, cutoff time.Duration) {
-	ids := n.replica.expiredStates(int64(cutoff.Seconds()), maxStatesPerGC)
-	if len(ids) > 0 {
-		n.deleteStates(ctx, ids)
+	states, submissions := n.replica.expiredJobs(int64(cutoff.Seconds()), maxStatesPerGC)
+	if len(submissions) > 0 {
+		if err := n.deleteSubmissions(ctx, submissions); err != nil {
+			n.log.Warn("submissions of ended jobs are not deleted yet", "jobs", len(submissions), "error", err.Error())
+		}
+	}
+	if len(states) > 0 {
+		n.deleteStates(ctx, states)
 	}
 }
 
@@ -77,7 +84,8 @@
 
 // deleteSubmissions deletes submissions and cancellations. A job that was
 // never cancelled has no cancellation to delete, so its key is left out. It
-// runs on the goroutine that deleteFinishedSubmissions starts.
+// runs on the goroutine that deleteFinishedSubmissions starts and on that of
+// collectGarbage.
 func (n *Node) deleteSubmissions(ctx context.Context, ids []cell.JobID) error {
 	var records []cell.KeyValue
 	for _, id := range ids {
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -253,22 +253,27 @@
 	return out
 }
 
-// expiredStates returns up to limit jobs that ended before the given boot time
-// in seconds. The owner calls it every stateGCInterval, on the goroutine of
-// collectGarbage.
-func (r *replica) expiredStates(before int64, limit int) []cell.JobID {
+// expiredJobs returns up to limit jobs that ended before the given boot time
+// in seconds: those of which only the state is in the store, and those whose
+// submission is there too. The owner calls it every stateGCInterval, on the
+// goroutine of collectGarbage.
+func (r *replica) expiredJobs(before int64, limit int) (states, submissions []cell.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []cell.JobID
 	for id, e := range r.jobs {
-		if len(out) == limit {
+		if len(states)+len(submissions) == limit {
 			break
 		}
-		if e.state.IsFinal() && !e.hasOpenRuns && e.finishedAtSeconds != 0 && e.finishedAtSeconds < before {
-			out = append(out, id)
+		if !e.state.IsFinal() || e.hasOpenRuns || e.finishedAtSeconds == 0 || e.finishedAtSeconds >= before {
+			continue
+		}
+		if e.hasStoredSubmission {
+			submissions = append(submissions, id)
+		} else {
+			states = append(states, id)
 		}
 	}
-	return out
+	return states, submissions
 }
 
 // pendingCounts returns the number of jobs of which no task has started, by
