--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/standin/cellstore"
 )
 
@@ -43,3 +46,122 @@
 	is.Equal(len(records), 1)
 	is.Equal(cell.State(records[0].Value[0]), cell.StateCancelled)
 }
+
+// TestSecondOwnershipOfASmallVMKnowsAllJobs guards against jobs that are never run, and
+// states that are answered 410, after a VM that is no follower has owned the cell, has
+// removed old jobs from its replica and owns the cell again.
+func TestSecondOwnershipOfASmallVMKnowsAllJobs(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "lasts"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("ended"), Value: completed})
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: minFollowerCores / 2}, Ports{Store: store}, io.Discard)
+	n.config.Store(&cell.Config{Version: 1})
+	for term := range int64(2) {
+		c := newControlLoop(n, term+1)
+		is.NoErr(n.takeOver(ctx, c))
+		if _, known := n.replica.state("ended"); !known {
+			t.Errorf("term %d: the state of the job that has ended is not known", term+1)
+		}
+		if tasks := c.machine.Load().WaitingTasks; tasks != 1 {
+			t.Errorf("term %d: %d tasks of the unfinished job wait", term+1, tasks)
+		}
+		n.setLoop(nil)
+		n.replica.forgetBefore(bootTime())
+	}
+}
+
+// newFollower returns a follower that has read topics jobs and progress.
+func newFollower(t *testing.T, store cell.Store) *Node {
+	t.Helper()
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: store}, io.Discard)
+	for _, reader := range []*topicReader{n.jobsReader, n.progressReader} {
+		if err := reader.readToEnd(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return n
+}
+
+// TestFollowerThatCannotReadProvesNoAbsence guards against 410 for an accepted job: a VM
+// that does not know all jobs asks the followers while there is no owner, and one of them
+// has not been able to read the store since the job was accepted.
+func TestFollowerThatCannotReadProvesNoAbsence(t *testing.T) {
+	is := is.New(t)
+	n := newFollower(t, &cellstore.Store{})
+	ask := func() bool {
+		resp, err := (&rpcServer{node: n}).State(context.Background(), &cellpb.StateRequest{Job: "a"})
+		is.NoErr(err)
+		is.Equal(resp.State, "")
+		return resp.Follows
+	}
+	is.True(ask())
+	n.jobsReader.lastSentAt.Store(int64(bootTime() - 3*time.Second))
+	is.True(!ask())
+}
+
+// TestEndedJobIsNotAbsentAfterALoad guards against 410 for a job that ended while a VM
+// loaded the topics: its submission was deleted before the load of the jobs, and its
+// state was recorded after that of the progress.
+func TestEndedJobIsNotAbsentAfterALoad(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: store}, io.Discard)
+	is.NoErr(n.progressReader.readToEnd(ctx))
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "a"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("a"), Value: completed})
+	write(cell.TopicJobs, cell.KeyValue{Key: cell.JobKey("a")})
+	is.NoErr(n.jobsReader.readToEnd(ctx))
+	_, known, err := n.State(ctx, "a")
+	is.True(known || err != nil) // no 410
+	resp, err := (&rpcServer{node: n}).State(ctx, &cellpb.StateRequest{Job: "a"})
+	is.NoErr(err)
+	is.True(resp.State != "" || !resp.Follows)
+	is.NoErr(n.progressReader.readToEnd(ctx))
+	state, known, err := n.State(ctx, "a")
+	is.NoErr(err)
+	is.True(known)
+	is.Equal(state, cell.StateCompleted)
+}
+
+// TestExpiredJobIsNotTakenOver guards against a job that runs again after its state has
+// expired: its submission was appended once more after it had been deleted, by a VM that
+// did not know the job or by an append that the store executed late.
+func TestExpiredJobIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	write(cell.TopicJobs, recordOf(t, "a"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("a"), Value: completed})
+	write(cell.TopicJobs, cell.KeyValue{Key: cell.JobKey("a")})
+	write(cell.TopicJobs, recordOf(t, "a"))
+	n := newFollower(t, store)
+	for range 3 {
+		n.deleteExpired(ctx, bootTime()+time.Hour)
+		is.NoErr(n.jobsReader.readToEnd(ctx))
+	}
+	_, known := n.replica.state("a")
+	is.True(!known)
+	restarted := newFollower(t, store)
+	is.Equal(len(restarted.replica.unfinishedJobs(func(cell.JobID, error) {})), 0)
+}
