--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -128,14 +128,19 @@
 	return code
 }
 
-// startServer listens on addr and serves handler on a goroutine of its own. A
-// later failure of the server is sent to results; a shutdown is none.
-// runOnPlatform calls it for the callers' and the readiness listener.
+// startServer listens on addr and serves handler there; see serve. runOnPlatform
+// calls it for the callers' and the readiness listener.
 func startServer(addr string, handler http.Handler, results chan error) (*http.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return serve(listener, handler, results), nil
+}
+
+// serve serves handler on a goroutine of its own. A later failure of the server is
+// sent to results; a shutdown is none. startServer calls it.
+func serve(listener net.Listener, handler http.Handler, results chan error) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -147,7 +152,7 @@
 			results <- err
 		}
 	}()
-	return server, nil
+	return server
 }
 
 // watchSettings reads the settings file again on every SIGHUP and every
