Answer every request that the process has read when it drains

What callers saw: a connection that ended without an answer when a VM was stopped, though the request had arrived. Cause: http.Server drops a request that it reads after Shutdown has begun, also the first one of a connection that was accepted before; and it closes a kept-alive connection as idle until the header of its next request has been parsed. A VM that is short of processor time, or that still gets connections because most of its zone is being replaced, reads such requests. Change: package gracefulhttp ends an unused connection by a read deadline that has passed, so that its reader gets either the first byte of a request or the end. A request of which a byte was read is served to its end. From SIGTERM on each response ends its connection, so that clients leave before the listener closes.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -15,6 +15,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/node"
+	"gypsumwinch/internal/gracefulhttp"
 	"gypsumwinch/platform"
 )
 
@@ -103,16 +104,17 @@
 }
 
 // drain stops the entry VM within the grace period and returns the exit code:
-// it fails the readiness probes, resigns the ownership of the cell, waits until
-// the load balancer sends no new callers, finishes the requests in flight and
-// then ends the context of the node with cancel. runOnPlatform calls it when a
+// it fails the readiness probes, resigns the ownership of the cell, ends each
+// connection with its next response, waits until the load balancer sends no new
+// callers, finishes the requests in flight and then ends the context of the node
+// with cancel. runOnPlatform calls it when a
 // stop signal arrives. Without the wait, new callers would be refused.
-func drain(n *node.Node, callerServer *http.Server, cancel context.CancelFunc, results chan error, grace time.Duration) int {
+func drain(n *node.Node, callerServer *gracefulhttp.Server, cancel context.CancelFunc, results chan error, grace time.Duration) int {
 	startedAt := time.Now()
 	n.Drain()
 	n.ResignOwnership()
+	callerServer.Drain()
 	time.Sleep(min(deregistrationDelay, grace/2))
-	callerServer.SetKeepAlivesEnabled(false)
 	ctx, cancelShutdown := context.WithTimeout(context.Background(), grace-exitMargin-time.Since(startedAt))
 	defer cancelShutdown()
 	code := exitOK
@@ -130,7 +132,7 @@
 
 // startServer listens on addr and serves handler there; see serve. runOnPlatform
 // calls it for the callers' and the readiness listener.
-func startServer(addr string, handler http.Handler, results chan error) (*http.Server, error) {
+func startServer(addr string, handler http.Handler, results chan error) (*gracefulhttp.Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -140,13 +142,13 @@
 
 // serve serves handler on a goroutine of its own. A later failure of the server is
 // sent to results; a shutdown is none. startServer calls it.
-func serve(listener net.Listener, handler http.Handler, results chan error) *http.Server {
-	server := &http.Server{
+func serve(listener net.Listener, handler http.Handler, results chan error) *gracefulhttp.Server {
+	server := gracefulhttp.New(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	})
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			results <- err
