Weigh an answer of the advice service by the workers it is about

What callers see: after a change of the owner a gang has nothing running for over 3 s, though eligible workers have room for it twice over and the cell is idle. Cause: the owner's estimate of the fraction of eligible workers began at 0.5 and moved by a tenth of the difference at each answer, however many workers it was about. Two rounds of queries of 1 s each named too few workers. Change: each worker counts the same.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -245,10 +245,7 @@
 			a.putTicket(ticket{worker: w, text: t.Ticket, expiresAt: m.now.Mono - e.Age + validity, workerStartedAt: w.info.Born})
 		}
 	}
-	if newlyQueried > 0 {
-		stats := m.statsFor(j.def.Queue.Name)
-		stats.eligibleFraction += newSampleWeight * (float64(newlyEligible)/float64(newlyQueried) - stats.eligibleFraction)
-	}
+	m.statsFor(j.def.Queue.Name).addEligibleSamples(newlyEligible, newlyQueried)
 	m.isCycleNeeded = true
 }
 
