Test that requests that a drain gives up are answered

Cause: a drain ends 0.7 s before the grace period does, whether requests are in flight or not. Change: a test drains a VM whose store does not answer, with one submission in flight and one behind it.

--- a/cmd/gypsumwinchd/drain_test.go
+++ b/cmd/gypsumwinchd/drain_test.go
@@ -3,16 +3,20 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/node"
+	"gypsumwinch/platform"
 	"gypsumwinch/standin/cellstore"
 )
 
@@ -127,3 +131,99 @@
 		})
 	}
 }
+
+const testConfig = `{"Version":1,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/q/","Service":"s","MaxAttempts":3}],"Services":[{"Name":"s"}]}`
+
+// answerTimeout is how long a test waits for an answer that should be there at once.
+const answerTimeout = 30 * time.Second
+
+// silentStore does not answer appends of jobs, and reports each of them.
+type silentStore struct {
+	cell.Store
+	appends chan struct{}
+}
+
+func (s *silentStore) Append(ctx context.Context, a cell.Append) (int64, error) {
+	if a.Topic != cell.TopicJobs {
+		return s.Store.Append(ctx, a)
+	}
+	s.appends <- struct{}{}
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// runTestNode runs a node until the test ends or cancel is called.
+func runTestNode(t *testing.T, store cell.Store) (n *node.Node, cancel context.CancelFunc, results chan error) {
+	t.Helper()
+	_, err := store.Append(context.Background(), cell.Append{
+		Topic: cell.TopicConfig, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: "config", Value: []byte(testConfig)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n = node.New(node.Settings{Name: "vm", PeerAddr: "127.0.0.1:0", CPUCores: 0.8, LeaseLimit: time.Second},
+		node.Ports{Store: store, Decoder: decoder{}}, io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	results = make(chan error, 3)
+	go func() { results <- n.Run(ctx) }()
+	for n.Config() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return n, cancel, results
+}
+
+// submit sends a submission with a deadline that is beyond that of the test, and sends
+// the status of the complete answer, or 0, to status.
+func submit(addr string, number int, status chan<- int) {
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/q/%016x", addr, number), strings.NewReader(`{"Phases":[{"Count":1,"Cpu":500}]}`))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Gypsumwinch-Deadline-Ms", "3600000")
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		status <- 0
+		return
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		status <- 0
+		return
+	}
+	status <- resp.StatusCode
+}
+
+// TestRequestGivenUpByADrainIsAnswered guards callers against a process that exits while
+// their requests wait for the store: one that was sent to it has an unknown outcome, and
+// one that waits behind it has certainly not run.
+func TestRequestGivenUpByADrainIsAnswered(t *testing.T) {
+	is := is.New(t)
+	store := &silentStore{Store: &cellstore.Store{}, appends: make(chan struct{}, 100)}
+	n, cancel, results := runTestNode(t, store)
+	begun := make(chan struct{}, 2)
+	ingress := platform.NewIngress(n)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		ingress.ServeHTTP(w, r)
+	}), results)
+	defer server.Close()
+	statuses := []chan int{make(chan int, 1), make(chan int, 1)}
+	go submit(listener.Addr().String(), 1, statuses[0])
+	<-begun
+	<-store.appends
+	go submit(listener.Addr().String(), 2, statuses[1])
+	<-begun
+	drain(n, server, cancel, results, time.Second)
+	for i, want := range []int{http.StatusGatewayTimeout, http.StatusServiceUnavailable} {
+		select {
+		case got := <-statuses[i]:
+			is.Equal(got, want)
+		case <-time.After(answerTimeout):
+			t.Errorf("request %d was not answered", i+1)
+		}
+	}
+}
