Answer the requests that a drain gives up

What callers saw: no answer to a submission that was in flight 5.3 s after SIGTERM, or an answer that the exit of the process raced with. Cause: the drain waits 2.8 s for requests whose callers wait for up to 3 s, and then lets the process exit. A submission behind an unanswered append waits for its own deadline, whatever the drain does. Change: when the time for the requests in flight is over, the server ends their contexts and waits 0.25 s for the answers, before the node stops. The process ends at most 5.8 s after SIGTERM with a grace period of 6 s.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -30,6 +30,11 @@
 	// exitMargin is the part of the grace period that is left for the process
 	// to exit after the requests in flight have been finished or given up.
 	exitMargin = 700 * time.Millisecond
+	// finalAnswerTimeout is the part of exitMargin in which requests that have been
+	// given up are answered.
+	finalAnswerTimeout = 250 * time.Millisecond
+	// nodeStopTimeout is the part of exitMargin in which the node ends its loops.
+	nodeStopTimeout = 250 * time.Millisecond
 	// memoryLimitFraction is the fraction of the platform's memory limit from
 	// which the garbage collector runs more often, so that the platform does
 	// not kill the process for exceeding the limit.
@@ -106,8 +111,8 @@
 // drain stops the entry VM within the grace period and returns the exit code:
 // it fails the readiness probes, resigns the ownership of the cell, ends each
 // connection with its next response, waits until the load balancer sends no new
-// callers, finishes the requests in flight and then ends the context of the node
-// with cancel. runOnPlatform calls it when a
+// callers, finishes the requests in flight, answers those that it gives up, and then
+// ends the context of the node with cancel. runOnPlatform calls it when a
 // stop signal arrives. Without the wait, new callers would be refused.
 func drain(n *node.Node, callerServer *gracefulhttp.Server, cancel context.CancelFunc, results chan error, grace time.Duration) int {
 	startedAt := time.Now()
@@ -118,14 +123,14 @@
 	ctx, cancelShutdown := context.WithTimeout(context.Background(), grace-exitMargin-time.Since(startedAt))
 	defer cancelShutdown()
 	code := exitOK
-	if err := callerServer.Shutdown(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "requests were still in flight when the drain timed out:", err)
+	if err := callerServer.Shutdown(ctx, finalAnswerTimeout); err != nil {
+		fmt.Fprintln(os.Stderr, "connections of callers were still open when the drain timed out:", err)
 		code = exitFailed
 	}
 	cancel()
 	select {
 	case <-results:
-	case <-time.After(exitMargin / 2):
+	case <-time.After(nodeStopTimeout):
 	}
 	return code
 }
--- a/internal/gracefulhttp/server.go
+++ b/internal/gracefulhttp/server.go
@@ -30,6 +30,8 @@
 	// isDraining is true once each response has to be the last of its connection.
 	isDraining atomic.Bool
 	isClosed   atomic.Bool
+	// giveUp ends the contexts of all requests.
+	giveUp context.CancelCauseFunc
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -47,6 +49,9 @@
 		last.announceClose()
 	})
 	server.ConnState = s.connStateChanged
+	ctx, giveUp := context.WithCancelCause(context.Background())
+	s.giveUp = giveUp
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	return s
 }
 
@@ -73,22 +78,44 @@
 	s.isDraining.Store(true)
 }
 
+// ErrShutdown is the cause for which the context of a request ends that a shutdown gives
+// up.
+var ErrShutdown = errors.New("the server shuts down")
+
 // Shutdown stops accepting connections, closes those that have no request, and returns
-// when all others have been answered and closed, or with the error of ctx when that ends
-// first. A connection is closed only while its server waits for the first byte of a
-// request, never after a byte has been read.
-func (s *Server) Shutdown(ctx context.Context) error {
+// when all others have been answered and closed. A connection is closed only while its
+// server waits for the first byte of a request, never after a byte has been read.
+//
+// When ctx ends first, Shutdown ends the contexts of the requests in flight, so that
+// their handlers answer at once, and waits for up to answerTimeout for that. Its error is
+// that of ctx if a connection is left then.
+func (s *Server) Shutdown(ctx context.Context, answerTimeout time.Duration) error {
 	s.Drain()
 	s.closeListener()
+	if s.awaitUnused(ctx) {
+		return nil
+	}
+	s.giveUp(ErrShutdown)
+	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+	defer cancel()
+	if s.awaitUnused(answerCtx) {
+		return nil
+	}
+	return ctx.Err()
+}
+
+// awaitUnused closes the connections that have no request until none is open, and
+// reports whether that was reached before the end of ctx. Shutdown calls it.
+func (s *Server) awaitUnused(ctx context.Context) bool {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		if s.closeUnused(time.Now()) == 0 {
-			return nil
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		case <-ticker.C:
 		}
 	}
@@ -112,7 +139,7 @@
 }
 
 // closeUnused closes the connections that have had no request for unusedTimeout, and
-// returns the number of open connections. Shutdown calls it every pollInterval.
+// returns the number of open connections. awaitUnused calls it every pollInterval.
 func (s *Server) closeUnused(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gracefulhttp/server_test.go
+++ b/internal/gracefulhttp/server_test.go
@@ -133,7 +133,7 @@
 	}()
 	<-held.read
 	shutdown := make(chan error, 1)
-	go func() { shutdown <- s.Shutdown(context.Background()) }()
+	go func() { shutdown <- s.Shutdown(context.Background(), 0) }()
 	body, isLast, err := c.readAnswer()
 	is.NoErr(err)
 	is.Equal(body, requestBody)
@@ -155,7 +155,7 @@
 		is.NoErr(err)
 		is.True(!isLast)
 	}
-	is.NoErr(s.Shutdown(context.Background()))
+	is.NoErr(s.Shutdown(context.Background(), 0))
 	_, _, err := c.readAnswer()
 	is.True(err != nil)
 }
@@ -191,14 +191,14 @@
 	<-held.read
 	ctx, cancel := context.WithTimeout(context.Background(), 2*unusedTimeout)
 	defer cancel()
-	is.Equal(s.Shutdown(ctx), context.DeadlineExceeded)
+	is.Equal(s.Shutdown(ctx, 0), context.DeadlineExceeded)
 	_, err = io.WriteString(c, requestBody[2:])
 	is.NoErr(err)
 	body, isLast, err := c.readAnswer()
 	is.NoErr(err)
 	is.Equal(body, requestBody)
 	is.True(isLast)
-	is.NoErr(s.Shutdown(context.Background()))
+	is.NoErr(s.Shutdown(context.Background(), 0))
 }
 
 // TestServeReportsItsEnd guards the daemon, which takes any other error for a failure.
@@ -210,3 +210,30 @@
 	s.Close()
 	is.Equal(s.Serve(l), http.ErrServerClosed)
 }
+
+// TestShutdownHasHandlersAnswer guards clients of requests that run longer than the
+// shutdown may take: their connections end with an answer.
+func TestShutdownHasHandlersAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	begun := make(chan struct{})
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, context.Cause(r.Context()).Error())
+	})})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	c := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, requestHeader+requestBody)
+	is.NoErr(err)
+	<-begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(s.Shutdown(ctx, time.Hour))
+	body, isLast, err := c.readAnswer()
+	is.NoErr(err)
+	is.Equal(body, ErrShutdown.Error())
+	is.True(isLast)
+}
