Make the stand-in store as strict as the protocol

Change: it remembers five appends of an epoch, drops records after a retention that a test sets, reads newest records in pages in the order of the keys without its mutex in between, and has a fault Late, which executes an append later if its conditions still hold.

--- a/standin/cellstore/cellstore.go
+++ b/standin/cellstore/cellstore.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,8 +26,21 @@
 	mu       sync.Mutex
 	topics   map[cell.Topic]*topic
 	faultFor func(call string, t cell.Topic) Fault
+	// lateness returns when an append with fault Late is executed; nil is a second.
+	lateness func() time.Duration
+	// retention is how long records are kept; 0 is for ever.
+	retention time.Duration
+	// pageRead is called between two pages of newest records, without the mutex.
+	pageRead func()
 }
 
+const (
+	// rememberedAppends is the number of appends of an epoch whose answers are repeated.
+	rememberedAppends = 5
+	// pageItems is the number of newest records in one page.
+	pageItems = 500
+)
+
 // Fault is the fault injected into one call.
 type Fault int
 
@@ -41,17 +56,21 @@
 	// Silent blocks an append or a read until its context ends; an append is not
 	// executed. Newest returns ErrLost at once.
 	Silent
+	// Late is Silent for the caller of an append. The append is executed later, if its
+	// conditions hold by then; see SetLateness. For other calls it is Silent.
+	Late
 )
 
 // topic is one log of records, with the fencing state of its writers.
 type topic struct {
 	firstOffset int64
 	records     []cell.KeyValue
+	// appendedAt is when each of the records was appended.
+	appendedAt  []time.Time
 	newestByKey map[string]cell.KeyValue
-	keyOrder    []string
 	// epoch is the highest fencing token seen; nextSequence is the sequence expected
-	// next in it, and endBySequence holds the end offset returned for each executed
-	// sequence, to answer repeated appends.
+	// next in it, and endBySequence holds the end offset returned for the last
+	// rememberedAppends sequences, to answer repeated appends.
 	epoch         int64
 	nextSequence  int64
 	endBySequence map[int64]int64
@@ -66,14 +85,35 @@
 	s.faultFor = f
 }
 
+// SetLateness sets how long after its call an append with fault Late is executed.
+// f runs with the store's mutex locked.
+func (s *Store) SetLateness(f func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateness = f
+}
+
+// SetRetention sets how long records are kept. A Read from an offset before the first
+// record that is kept returns cell.ErrExpired.
+func (s *Store) SetRetention(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retention = d
+}
+
 // Forget drops all records of a topic except the newest of each key. A
 // Read from an offset before the end then returns cell.ErrExpired.
 func (s *Store) Forget(name cell.Topic) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	t.firstOffset += int64(len(t.records))
-	t.records = nil
+	t.drop(len(t.records))
+}
+
+// drop drops the oldest n records, but no newest record of a key.
+func (t *topic) drop(n int) {
+	t.firstOffset += int64(n)
+	t.records, t.appendedAt = t.records[n:], t.appendedAt[n:]
 }
 
 // Len returns the end offset of a topic, which also counts dropped records.
@@ -83,7 +123,8 @@
 	return s.topic(name).end()
 }
 
-// topic returns a topic and creates it on first use. s.mu is locked by the caller.
+// topic returns a topic, without the records that are older than the retention, and
+// creates it on first use. s.mu is locked by the caller.
 func (s *Store) topic(name cell.Topic) *topic {
 	if s.topics == nil {
 		s.topics = map[cell.Topic]*topic{}
@@ -93,6 +134,13 @@
 		t = &topic{newestByKey: map[string]cell.KeyValue{}, endBySequence: map[int64]int64{}, changed: make(chan struct{})}
 		s.topics[name] = t
 	}
+	if s.retention > 0 {
+		expired := 0
+		for expired < len(t.records) && time.Since(t.appendedAt[expired]) > s.retention {
+			expired++
+		}
+		t.drop(expired)
+	}
 	return t
 }
 
@@ -115,6 +163,17 @@
 	case Refuse:
 		s.mu.Unlock()
 		return 0, cell.ErrNotExecuted
+	case Late:
+		delay := time.Second
+		if s.lateness != nil {
+			delay = s.lateness()
+		}
+		time.AfterFunc(delay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.appendRecords(a)
+		})
+		fallthrough
 	case Silent:
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -141,14 +200,12 @@
 		return 0, &cell.ConflictError{End: t.end()}
 	}
 	for _, r := range a.Records {
-		t.records = append(t.records, r)
-		if _, known := t.newestByKey[r.Key]; !known {
-			t.keyOrder = append(t.keyOrder, r.Key)
-		}
+		t.records, t.appendedAt = append(t.records, r), append(t.appendedAt, time.Now())
 		t.newestByKey[r.Key] = r
 	}
 	if a.Epoch > 0 && len(a.Records) > 0 {
 		t.endBySequence[a.Sequence] = t.end()
+		delete(t.endBySequence, a.Sequence-rememberedAppends)
 		t.nextSequence = a.Sequence + 1
 	}
 	close(t.changed)
@@ -194,7 +251,7 @@
 		switch {
 		case fault == Refuse:
 			return cell.Batch{}, cell.ErrNotExecuted
-		case fault == Silent:
+		case fault == Silent || fault == Late:
 			<-ctx.Done()
 			return cell.Batch{}, ctx.Err()
 		case err != nil || len(batch.Records) > 0 || wait == 0:
@@ -223,23 +280,43 @@
 	return batch, nil
 }
 
-// Newest implements cell.Store. It returns the newest record of each key, in the
-// order in which the keys first appeared, without keys whose newest value is empty.
+// Newest implements cell.Store. It returns the newest record of each key, in the order
+// of the keys, without keys whose newest value is empty. It reads pages, which are no
+// snapshot: appends between two of them show in the later one.
 func (s *Store) Newest(ctx context.Context, name cell.Topic) (cell.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch s.injectedFault("newest", name) {
 	case Refuse:
 		return cell.Batch{}, cell.ErrNotExecuted
-	case Silent, LoseAnswer:
+	case Silent, LoseAnswer, Late:
 		return cell.Batch{}, ErrLost
 	}
-	t := s.topic(name)
-	batch := cell.Batch{Next: t.end(), End: t.end()}
-	for _, key := range t.keyOrder {
-		if r := t.newestByKey[key]; len(r.Value) > 0 {
-			batch.Records = append(batch.Records, r)
+	batch := cell.Batch{Next: s.topic(name).end(), End: s.topic(name).end()}
+	for after := ""; ; {
+		page := s.topic(name).newestPage(after)
+		batch.Records = append(batch.Records, page...)
+		if len(page) < pageItems {
+			return batch, ctx.Err()
+		}
+		after = page[len(page)-1].Key
+		s.mu.Unlock()
+		if s.pageRead != nil {
+			s.pageRead()
+		}
+		s.mu.Lock()
+	}
+}
+
+// newestPage returns the newest records of the first pageItems keys after a key that have
+// a value. Newest calls it with the store's mutex locked.
+func (t *topic) newestPage(after string) []cell.KeyValue {
+	var page []cell.KeyValue
+	for key, r := range t.newestByKey {
+		if key > after && len(r.Value) > 0 {
+			page = append(page, r)
 		}
 	}
-	return batch, ctx.Err()
+	slices.SortFunc(page, func(a, b cell.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return page[:min(pageItems, len(page))]
 }
