Soak accepted jobs under faults of the store

Cause: the soak ends each fault before the next one, so that no owner change and no end of all processes meets a slow or failing store, and no append is executed late.

--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -46,8 +46,11 @@
 	// call.
 	faultMode         atomic.Int32
 	lostAnswerPercent atomic.Int32
-	delay             atomic.Int64
-	rng               *lockedRand
+	// latePercent is the share of appends without an answer that are executed 1 to 6 s
+	// after the call.
+	latePercent atomic.Int32
+	delay       atomic.Int64
+	rng         *lockedRand
 }
 
 // nextFault delays a call and returns its fault.
@@ -56,6 +59,9 @@
 	if s.rng.IntN(100) < int(s.lostAnswerPercent.Load()) {
 		return cellstore.LoseAnswer
 	}
+	if s.rng.IntN(100) < int(s.latePercent.Load()) {
+		return cellstore.Late
+	}
 	return cellstore.Fault(s.faultMode.Load())
 }
 
@@ -63,6 +69,11 @@
 	switch s.nextFault(ctx) {
 	case cellstore.Refuse:
 		return 0, cell.ErrNotExecuted
+	case cellstore.Late:
+		delay := time.Duration(1000+s.rng.IntN(5000)) * time.Millisecond
+		time.AfterFunc(delay, func() { _, _ = s.Store.Append(context.Background(), a) })
+		<-ctx.Done()
+		return 0, ctx.Err()
 	case cellstore.Silent:
 		<-ctx.Done()
 		return 0, ctx.Err()
@@ -91,7 +102,7 @@
 	switch s.nextFault(ctx) {
 	case cellstore.Refuse:
 		return cell.ErrNotExecuted
-	case cellstore.Silent:
+	case cellstore.Silent, cellstore.Late:
 		<-ctx.Done()
 		return ctx.Err()
 	case cellstore.LoseAnswer:
@@ -339,6 +350,8 @@
 	stores  [soakNodeCount]*soakStore
 	cancels [soakNodeCount]context.CancelFunc
 	addrs   [soakNodeCount]string
+	// smallNodes is the number of nodes, from the last one on, that are no followers.
+	smallNodes int
 	// exited channels are closed when the processes have ended.
 	exited [soakNodeCount]chan struct{}
 }
@@ -351,7 +364,7 @@
 		out = os.Stderr
 	}
 	cpuCores := 0.8
-	if i == soakNodeCount-1 {
+	if i >= soakNodeCount-c.smallNodes {
 		cpuCores = 0.2
 	}
 	n := New(Settings{
@@ -456,10 +469,10 @@
 	return false, refused
 }
 
-func newSoakCell(t *testing.T, seed uint64) *soakCell {
+func newSoakCell(t *testing.T, seed uint64, smallNodes int) *soakCell {
 	t.Helper()
 	rng := &lockedRand{rng: rand.New(rand.NewPCG(seed, 0x736f616b))}
-	c := &soakCell{store: &cellstore.Store{}, rng: rng}
+	c := &soakCell{store: &cellstore.Store{}, rng: rng, smallNodes: smallNodes}
 	c.fleet = &soakFleet{rng: rng, workers: map[string]*soakWorker{}, completedTasks: map[string]bool{}}
 	for i := range soakWorkerCount {
 		c.fleet.restartWorker(c.store, fmt.Sprintf("w%d", i))
@@ -495,7 +508,7 @@
 // a time or again after its completion.
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	c := newSoakCell(t, *soakSeed)
+	c := newSoakCell(t, *soakSeed, 1)
 	defer func() {
 		for i := range soakNodeCount {
 			c.killNode(i)
