Catch SIGHUP before the settings are read

What callers saw: connections to the VM were refused until the platform had started its process again. Cause: SIGHUP ends a process that does not catch it. runOnPlatform caught it on a goroutine that it starts after it has read the settings, and no longer once the drain had ended that goroutine. Change: SIGHUP is caught before the settings are read, until the process exits.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -67,6 +67,10 @@
 // addresses of the store and of the advice service follow changes of the
 // settings file; the other settings are fixed at start.
 func runOnPlatform(stopCtx context.Context) int {
+	// The signal would end the process if it came before this call. It stays caught
+	// until the process exits.
+	settingsChanged := make(chan os.Signal, 1)
+	signal.Notify(settingsChanged, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -78,7 +82,7 @@
 	currentSettings.Store(&settings)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go watchSettings(ctx, currentSettings)
+	go watchSettings(ctx, settingsChanged, currentSettings)
 
 	n := node.New(nodeSettings(settings), node.Ports{
 		Store:   platform.NewStore(func() string { return currentSettings.Load().StoreAddr }),
@@ -162,20 +166,17 @@
 	return server
 }
 
-// watchSettings reads the settings file again on every SIGHUP and every
-// settingsReloadInterval, and stores valid settings in currentSettings. It runs
-// on a goroutine that runOnPlatform starts, until ctx ends.
-func watchSettings(ctx context.Context, currentSettings *atomic.Pointer[platform.Settings]) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// watchSettings reads the settings file again on every signal from changed and every
+// settingsReloadInterval, and stores valid settings in currentSettings. It runs on a
+// goroutine that runOnPlatform starts, until ctx ends.
+func watchSettings(ctx context.Context, changed <-chan os.Signal, currentSettings *atomic.Pointer[platform.Settings]) {
 	ticker := time.NewTicker(settingsReloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-changed:
 		case <-ticker.C:
 		}
 		s, err := platform.LoadSettings()
