Show that a step with nothing running avoids the only workers with room

What callers see: a job whose runs failed has nothing running for up to 6 s, though workers have room for it twice over and under half of the cell is in use. Cause: for 6 s a step avoids each worker on which one of its runs failed, also if no other suitable worker has room.

--- /dev/null
+++ b/internal/cell/owner/idle_test.go
@@ -0,0 +1,53 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+)
+
+// maxIdleTime is how long a job that could run may have nothing running; the platform judges it.
+const maxIdleTime = 3 * time.Second
+
+// TestFailedTaskIdlesBriefly guards against a job that has nothing running for 3 s because its step avoids the only workers with room.
+func TestFailedTaskIdlesBriefly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(2, 500))})
+	f.scheduleAndRecord()
+	f.clearActions()
+	f.finishedRuns = []cell.FinishedRun{
+		{Number: 1, Task: "j.0.0.0", Run: 1, Outcome: cell.OutcomeFailed},
+		{Number: 2, Task: "j.0.0.1", Run: 1, Outcome: cell.OutcomeFailed},
+	}
+	for end := f.now + maxIdleTime; f.now < end; f.now += 25 * time.Millisecond {
+		f.answerRenewal()
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+	}
+	is.Equal(len(actionsOf[SendStart](f)), 2)
+}
+
+// TestFailedGangIdlesBriefly guards against a gang that has nothing running for 3 s because it avoids a worker that it needs.
+func TestFailedGangIdlesBriefly(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	gang := newStep(2, 500)
+	gang.Gang = true
+	f.apply(JobSubmitted{Job: newJob("j", gang)})
+	f.scheduleAndRecord()
+	f.clearActions()
+	f.finishedRuns = []cell.FinishedRun{
+		{Number: 1, Task: "j.0.0.0", Run: 1, Outcome: cell.OutcomeFailed},
+		{Number: 2, Task: "j.0.0.1", Run: 1, Outcome: cell.OutcomeGangBroken},
+	}
+	for end := f.now + maxIdleTime; f.now < end; f.now += 25 * time.Millisecond {
+		f.answerRenewal()
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+	}
+	is.Equal(len(actionsOf[SendStart](f)), 2)
+}
