Let a step that has nothing running use workers on which it failed

What callers see: a job whose runs failed has nothing running for up to 6 s, though workers have room for it twice over and under half of the cell is in use. Cause: for 6 s a step avoids each worker on which one of its runs failed, also if no other suitable worker has room. Change: a step without a run for 1.5 s avoids no worker. The decision is taken once in each scheduling cycle, so that a gang that fits is placed on the same workers. Why it works: of the 3 s for which a job that could run may have nothing running, 1.5 s remain for an answer of the advice service, the record and the start. A task that finds another worker within 1.5 s still does not return to one where it failed.

--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -36,6 +36,10 @@
 	// workerAvoidTTL is how long a step avoids a worker on which one of its runs
 	// failed.
 	workerAvoidTTL = 6 * time.Second
+	// idleAvoidLimit is how long a step without a run goes on avoiding workers. A job
+	// that could run may have nothing running for 3 s, and an answer of the advice
+	// service takes up to a second.
+	idleAvoidLimit = 1500 * time.Millisecond
 )
 
 // countFailure counts a failed run of a job on the worker. recordFailedRun
@@ -100,8 +104,19 @@
 	}
 }
 
-// avoidsWorker reports whether a run of a step recently failed on a worker.
+// mustAcceptAllWorkers reports whether a step has had no run for idleAvoidLimit, so
+// that it no longer avoids workers. placeStep calls it once in each scheduling cycle:
+// the answer must not change while the step's tasks are placed.
+func (m *Machine) mustAcceptAllWorkers(s *step) bool {
+	return s.openRuns == 0 && m.now.Mono-s.idleSince >= idleAvoidLimit
+}
+
+// avoidsWorker reports whether a run of a step recently failed on a worker, unless
+// the step accepts all workers.
 func (m *Machine) avoidsWorker(s *step, w *worker) bool {
+	if s.acceptsAllWorkers {
+		return false
+	}
 	at, failed := s.failedAtByWorker[w.info.ID]
 	return failed && m.now.Mono-at < workerAvoidTTL
 }
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -51,6 +51,10 @@
 	advice   adviceState
 	// failedAtByWorker is when a run of the step last failed, by worker id.
 	failedAtByWorker map[string]time.Duration
+	// idleSince is when the step became ready or its last open run was closed.
+	idleSince time.Duration
+	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
+	acceptsAllWorkers bool
 }
 
 // task is one task of a step.
@@ -322,7 +326,7 @@
 			continue
 		}
 		s.isReady = true
-		s.readyAt = m.now.Mono
+		s.readyAt, s.idleSince = m.now.Mono, m.now.Mono
 		m.waitingSteps[s.id] = s
 		m.isCycleNeeded = true
 	}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -117,6 +117,7 @@
 	m.isCycleNeeded = true
 	if s := r.step; s != nil {
 		s.openRuns--
+		s.idleSince = m.now.Mono
 		if s.tasks[r.id.Index].run == r {
 			s.tasks[r.id.Index].run = nil
 		}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -202,6 +202,7 @@
 		}
 		return
 	}
+	s.acceptsAllWorkers = m.mustAcceptAllWorkers(s)
 	if s.def.Gang {
 		m.placeGang(s, q, pending)
 		return
