Show that a failed gang run counts twice across a takeover

Cause: a run of a gang counts as one failure, however many members fail, but the number of the last failed run is not recorded. If the owner changes between the ends of two members, the new owner counts the second one as another failure.

--- a/internal/cell/owner/record_test.go
+++ b/internal/cell/owner/record_test.go
@@ -69,3 +69,37 @@
 		t.Errorf("%s is started again as run %d", a.Start.Task, a.Start.Run)
 	}
 }
+
+// TestGangRunCountsAsOneFailureAcrossATakeover guards against a job that is given up too
+// early: two members of one gang run fail, and the owner changes between their ends.
+func TestGangRunCountsAsOneFailureAcrossATakeover(t *testing.T) {
+	is := is.New(t)
+	former := newFixture(t, 4000)
+	gang := cell.Step{Count: 2, Need: structs.Resources{MilliCPU: 500}, Estimate: time.Second, Gang: true}
+	former.apply(JobSubmitted{Job: newJob("a", gang)})
+	former.scheduleAndRecord()
+	starts := actionsOf[SendStart](former)
+	is.Equal(len(starts), 2)
+	for i, a := range starts {
+		former.finishedRuns = append(former.finishedRuns, cell.FinishedRun{
+			Number: int64(i + 1), Task: a.Start.Task.String(), Run: a.Start.Run, Outcome: cell.OutcomeFailed,
+		})
+	}
+	both := former.finishedRuns
+	former.finishedRuns = both[:1]
+	former.answerRenewal(cell.ActiveRun{Task: starts[1].Start.Task.String(), Run: starts[1].Start.Run})
+	records, _, err := former.m.TakeBatch()
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	progress, err := cell.DecodeProgress(records[0].Value)
+	is.NoErr(err)
+
+	next := newFixture(t, 4000)
+	next.apply(JobSubmitted{Job: newJob("a", gang), Progress: progress})
+	next.finishedRuns = both
+	next.answerRenewal()
+	records, _, err = next.m.TakeBatch()
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	is.True(cell.State(records[0].Value[0]) != cell.StateFailed) // 1 of 2 attempts
+}
