Record which run of a gang failed last

Callers saw: a job shown as failed after fewer runs than MaxAttempts, if two members of a gang fail in one run and the owner changes between their ends. Cause: the number of the last failed run, which makes the failures of one gang run count once, was kept in memory only. Change: the progress of a gang has it (g, left out if it is 0), and a takeover restores it.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -239,6 +239,7 @@
 		}
 		if s.def.Gang {
 			s.gangFailures = p.FailedRuns[0]
+			s.lastFailedGangRun = p.LastFailedRun
 		}
 	}
 }
@@ -431,6 +432,7 @@
 	}
 	if s.def.Gang && s.gangFailures > 0 {
 		p.SetFailedRuns(0, s.gangFailures)
+		p.LastFailedRun = s.lastFailedGangRun
 	}
 	if s.doneTasks > 0 {
 		p.DoneTasks = s.doneBits()
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -35,6 +35,9 @@
 	// FailedRuns is the number of failed runs by task index. A gang has one count,
 	// under index 0.
 	FailedRuns map[int]int `json:"f,omitempty"`
+	// LastFailedRun is the number of a gang's last run that failed. Further members that
+	// fail in this run do not count again.
+	LastFailedRun int `json:"g,omitempty"`
 	// LastRun is the highest run number that a task of the step has had.
 	LastRun  int       `json:"l,omitempty"`
 	OpenRuns []OpenRun `json:"o,omitempty"`
