Return a step to a worker on which it failed only as the last choice

Callers would see a job use up its attempts on one faulty worker: a step that has had no run for 1.5 s may use the workers on which it failed, and placement preferred the fullest one, queries of advice those known as eligible. Such a worker now scores and ranks below the others, as a suspect one does; in queries also below workers that no query has named.

TestIdleStepReturnsToItsWorkerLast fails without the change of the score (checked).

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -418,6 +418,10 @@
 	if w.health.isSuspect() {
 		c.rank -= 500
 	}
+	if m.failedRecentlyOn(s, w) {
+		// Ranks below the workers that no query has named yet.
+		c.rank -= 1500
+	}
 	return c
 }
 
--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -114,13 +114,21 @@
 // avoidsWorker reports whether a run of a step recently failed on a worker, unless
 // the step accepts all workers.
 func (m *Machine) avoidsWorker(s *step, w *worker) bool {
-	if s.acceptsAllWorkers {
-		return false
-	}
+	return !s.acceptsAllWorkers && m.failedRecentlyOn(s, w)
+}
+
+// failedRecentlyOn reports whether a run of a step recently failed on a worker.
+func (m *Machine) failedRecentlyOn(s *step, w *worker) bool {
 	at, failed := s.failedAtByWorker[w.info.ID]
 	return failed && m.now.Mono-at < workerAvoidTTL
 }
 
+// isLastChoice reports whether a step uses a worker only if no other has room: the
+// worker is suspect, or a run of the step recently failed there.
+func (m *Machine) isLastChoice(s *step, w *worker) bool {
+	return w.health.isSuspect() || m.failedRecentlyOn(s, w)
+}
+
 // recordFailedRun counts a run that failed or was stuck against its worker's
 // health, and makes its step avoid that worker for workerAvoidTTL.
 // handleFailedRun and stopStuckRuns call it. Nothing is stored.
--- a/internal/cell/owner/idle_test.go
+++ b/internal/cell/owner/idle_test.go
@@ -51,3 +51,17 @@
 	}
 	is.Equal(len(actionsOf[SendStart](f)), 2)
 }
+
+// TestIdleStepReturnsToItsWorkerLast guards against a job that uses up its attempts on one faulty worker although another one has room.
+func TestIdleStepReturnsToItsWorkerLast(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500))})
+	f.scheduleAndRecord()
+	f.failRun(1, 1)
+	f.now += idleAvoidLimit
+	f.answerRenewal()
+	f.addWorker("emptier", 2000)
+	f.scheduleAndRecord()
+	is.Equal(actionsOf[SendStart](f)[0].Start.Worker, "emptier")
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -351,9 +351,9 @@
 // Weights of the score of a worker for a task; lower scores are better. The unit
 // is the fraction of the worker's CPUs that would remain free.
 const (
-	// suspectPenalty is high enough that a suspect worker is used only if there
-	// is no other.
-	suspectPenalty = 10.0
+	// lastChoicePenalty is high enough that a suspect worker, or one on which the step
+	// failed, is used only if there is no other.
+	lastChoicePenalty = 10.0
 	// remotePenalty keeps tasks in the rack of their data, since they take
 	// longer elsewhere.
 	remotePenalty = 3.0
@@ -373,8 +373,8 @@
 // amounts of free capacity for large tasks. consider calls it.
 func (m *Machine) scoreWorker(w *worker, s *step) float64 {
 	score := m.freeCPUFractionAfter(w, s.def.Charge())
-	if w.health.isSuspect() {
-		score += suspectPenalty
+	if m.isLastChoice(s, w) {
+		score += lastChoicePenalty
 	}
 	if s.def.DataRack != "" && s.def.DataRack != w.info.Rack() {
 		score += remotePenalty
