Show that a takeover loses the checkpoint of a run that has ended

Cause: checkpoints are kept in memory only. A new owner learns those of open runs from the workers; that of an ended run is forgotten by its worker once its end is taken note of. Measured: a task and a gang that were stopped start without a checkpoint.

--- a/internal/cell/owner/record_test.go
+++ b/internal/cell/owner/record_test.go
@@ -103,3 +103,35 @@
 	is.Equal(len(records), 1)
 	is.True(cell.State(records[0].Value[0]) != cell.StateFailed) // 1 of 2 attempts
 }
+
+// TestCheckpointOfAnEndedRunSurvivesATakeover guards against work that is done twice: a
+// run was stopped, its end was taken note of, and the owner changes before the task is
+// started again.
+func TestCheckpointOfAnEndedRunSurvivesATakeover(t *testing.T) {
+	for name, isGang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			former := newFixture(t, 4000)
+			step := cell.Step{Count: 1, Need: structs.Resources{MilliCPU: 500}, Estimate: time.Second, Checkpointing: true, Gang: isGang}
+			former.apply(JobSubmitted{Job: newJob("a", step)})
+			former.scheduleAndRecord()
+			starts := actionsOf[SendStart](former)
+			is.Equal(len(starts), 1)
+			former.finishedRuns = []cell.FinishedRun{{
+				Number: 1, Task: starts[0].Start.Task.String(), Run: starts[0].Start.Run, Outcome: cell.OutcomeStopped, Checkpoint: "saved",
+			}}
+			former.answerRenewal()
+			records, _, err := former.m.TakeBatch()
+			is.NoErr(err)
+			progress, err := cell.DecodeProgress(records[0].Value)
+			is.NoErr(err)
+
+			next := newFixture(t, 4000)
+			next.apply(JobSubmitted{Job: newJob("a", step), Progress: progress})
+			next.scheduleAndRecord()
+			starts = actionsOf[SendStart](next)
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Start.Checkpoint, "saved")
+		})
+	}
+}
