Record the checkpoints of tasks that wait to be started again

Callers saw: jobs that take longer than they need after a change of the owner. Their tasks that had been stopped, or whose lease had lapsed, began anew although a checkpoint was listed. Cause: checkpoints were kept in memory. Those of open runs are listed by the workers again, those of ended runs are not. Change: the progress record holds the checkpoint of each unfinished task without an open run, and that of a gang; a takeover restores them. Checkpoints over 48 bytes are left out, so that a record stays within the size that MaxTasksPerJob allows for. Measured: TestCheckpointOfAnEndedRunSurvivesATakeover passes, its entry is removed; package owner passes with its simulation. The cost in bytes of progress was not measured. The checkpoint of a run that was recorded and never reached its worker is still lost if the owner changes before its end is recorded.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -218,7 +218,7 @@
 	j.releasedOccurrences++
 }
 
-// restoreStep sets the done tasks, failed runs and last run number of a new
+// restoreStep sets the done tasks, failed runs, checkpoints and last run number of a new
 // step from the recorded progress, if there is any. releaseOccurrence calls
 // it for each step.
 func restoreStep(s *step, progress *cell.Progress) {
@@ -236,10 +236,12 @@
 				s.doneTasks++
 			}
 			s.tasks[i].failedRuns = p.FailedRuns[i]
+			s.tasks[i].checkpoint = p.Checkpoints[i]
 		}
 		if s.def.Gang {
 			s.gangFailures = p.FailedRuns[0]
 			s.lastFailedGangRun = p.LastFailedRun
+			s.checkpoint = p.Checkpoints[0]
 		}
 	}
 }
@@ -426,6 +428,9 @@
 		if t.failedRuns > 0 && !final && !s.def.Gang {
 			p.SetFailedRuns(i, t.failedRuns)
 		}
+		if t.run == nil && !t.isDone && !final && !s.def.Gang {
+			p.SetCheckpoint(i, t.checkpoint)
+		}
 	}
 	if final {
 		return p, len(p.OpenRuns) > 0
@@ -434,6 +439,9 @@
 		p.SetFailedRuns(0, s.gangFailures)
 		p.LastFailedRun = s.lastFailedGangRun
 	}
+	if s.def.Gang && s.doneTasks == 0 {
+		p.SetCheckpoint(0, s.checkpoint)
+	}
 	if s.doneTasks > 0 {
 		p.DoneTasks = s.doneBits()
 	}
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -41,6 +41,10 @@
 	// LastRun is the highest run number that a task of the step has had.
 	LastRun  int       `json:"l,omitempty"`
 	OpenRuns []OpenRun `json:"o,omitempty"`
+	// Checkpoints has the checkpoints of unfinished tasks without an open run, by task
+	// index; those of open runs are listed by their workers. A gang has one, under
+	// index 0.
+	Checkpoints map[int]string `json:"c,omitempty"`
 }
 
 // Progress is what the owner records about a job, beside the job itself.
@@ -166,6 +170,23 @@
 	}
 }
 
+// SetCheckpoint sets the checkpoint of the task with an index, or of a gang, under index
+// 0. A checkpoint of more than maxRecordedCheckpoint bytes is left out. The owner calls it
+// when it builds the progress record of a job that has no final state.
+func (p *StepProgress) SetCheckpoint(index int, checkpoint string) {
+	if checkpoint == "" || len(checkpoint) > maxRecordedCheckpoint {
+		return
+	}
+	if p.Checkpoints == nil {
+		p.Checkpoints = map[int]string{}
+	}
+	p.Checkpoints[index] = checkpoint
+}
+
+// maxRecordedCheckpoint keeps the entry of a task within the 60 bytes for which
+// MaxTasksPerJob allows; the checkpoints of the workers have 16.
+const maxRecordedCheckpoint = 48
+
 // SetFailedRuns sets the number of failed runs of the task with an index, or of a gang,
 // under index 0. The owner calls it when it builds the progress record of a job that
 // has no final state, for each task or gang with failed runs.
