Show that the rest of a round of advice queries waits for its first part

What callers see: a gang has nothing running for over 3 s while many gangs wait, though eligible workers have room for it twice over and under half of the cell is in use: after a failure that breaks many gangs, or a burst of wide jobs. Cause: if too few advice proxies are free, the owner sends a part of a round of queries and the rest only after the part is answered, 1.7 s later for 100 workers, also if proxies become free in between.

--- a/internal/cell/owner/advice_test.go
+++ b/internal/cell/owner/advice_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -133,3 +134,24 @@
 	f.scheduleAndRecord()
 	is.Equal(len(actionsOf[QueryAdvice](f)), 1) // it is advised about again
 }
+
+// TestRestOfARoundIsQueriedOnceAProxyIsFree guards against a gang that has nothing running for 3 s because the two parts of a round of queries follow each other.
+func TestRestOfARoundIsQueriedOnceAProxyIsFree(t *testing.T) {
+	is := is.New(t)
+	f := newAdviceFixture(t, 2*maxQueryWorkers)
+	f.apply(JobSubmitted{Job: newJob("j", newGang(maxQueryWorkers+queryWorkers))})
+	oneProxy := AdviceCapacity{FreeProxies: 1, FreeForLongQueries: 1, LongQueryTime: time.Second}
+	f.schedule(oneProxy)
+	first := actionsOf[QueryAdvice](f)
+	is.Equal(len(first), 1)
+	f.clearActions()
+	f.now += adviceQueryInterval
+	f.apply(Tick{})
+	f.schedule(oneProxy)
+	rest := actionsOf[QueryAdvice](f)
+	is.Equal(len(rest), 1)
+	for _, id := range rest[0].Workers {
+		is.True(!slices.Contains(first[0].Workers, id)) // no worker is queried twice in a round
+	}
+	is.True(len(first[0].Workers)+len(rest[0].Workers) >= maxQueryWorkers+queryWorkers)
+}
