Send the rest of a round of advice queries as soon as proxies are free

What callers see: a gang has nothing running for over 3 s while many gangs wait, though eligible workers have room for it twice over and under half of the cell is in use. Cause: if too few advice proxies were free, the rest of a round of queries waited until its first part was answered, 1.7 s for 100 workers. Change: a step keeps the workers of its round that are not queried yet, and in each scheduling cycle queries as many of them as free proxies permit. Steps get the free proxies in the order of their rank, as before. Why it works: the parts of a round overlap, so that a gang needs the time of one answer after the last proxy that it waits for, not the sum of two answers.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -14,6 +14,11 @@
 // adviceState is what the owner knows about the workers that may run a step.
 type adviceState struct {
 	queriesInFlight int
+	// unqueriedWorkers are the workers of the present round of queries that are not
+	// queried yet, since too few advice proxies were free; querySize is the number of
+	// workers per query of the round.
+	unqueriedWorkers []string
+	querySize        int
 	// nextQueryAt is the earliest time of the next query about the step.
 	nextQueryAt time.Duration
 	// eligibleByWorker has an entry for each worker that an answered query
@@ -251,11 +256,15 @@
 
 // queryAdvice sends queries about workers that may run the remaining tasks
 // of a step. placeStep and placeGang call it in a scheduling cycle if tasks
-// could not be placed with the tickets at hand. It does nothing while
-// queries of the step are in flight.
+// could not be placed with the tickets at hand. While queries of the step are
+// in flight it only sends the rest of their round.
 func (m *Machine) queryAdvice(s *step, q *cell.Queue, need int) {
 	a := &s.advice
-	if a.queriesInFlight > 0 || m.now.Mono < a.nextQueryAt || need == 0 {
+	if a.queriesInFlight > 0 {
+		m.sendQueries(s, q)
+		return
+	}
+	if m.now.Mono < a.nextQueryAt || need == 0 {
 		return
 	}
 	if needsFreeProxy(q) && !m.adviceCapacity.canQuery(q.Advice.AnswerTime(1)) {
@@ -272,18 +281,30 @@
 	}
 	m.logDecision(s.id.String(), "advice queries are sent", "workers", len(candidates.workerIDs), "expected_room", int(candidates.expectedTasks), "need", need)
 	a.reservations = candidates.reservations
-	size := queryWorkers
+	a.querySize = queryWorkers
 	if needsFreeProxy(q) && m.adviceCapacity.FreeProxies < 2*(len(candidates.workerIDs)/queryWorkers+1) {
-		size = maxQueryWorkers
+		a.querySize = maxQueryWorkers
 	}
-	for workerIDs := range slices.Chunk(candidates.workerIDs, size) {
-		answerTime := q.Advice.AnswerTime(len(workerIDs))
+	a.unqueriedWorkers = candidates.workerIDs
+	m.sendQueries(s, q)
+}
+
+// sendQueries sends the queries of a step's present round, as far as there are free
+// advice proxies. queryAdvice calls it when the round begins and, for the rest, in
+// each later scheduling cycle in which queries of the round are in flight: an answer
+// about many workers takes over a second, and proxies become free in between. A rest
+// that is left when all these queries are answered belongs to the next round.
+func (m *Machine) sendQueries(s *step, q *cell.Queue) {
+	a := &s.advice
+	for len(a.unqueriedWorkers) > 0 {
+		n := min(a.querySize, len(a.unqueriedWorkers))
+		answerTime := q.Advice.AnswerTime(n)
 		if needsFreeProxy(q) && !m.adviceCapacity.tryTakeProxy(answerTime) {
-			// The rest is queried after these queries are answered.
-			break
+			return
 		}
 		a.queriesInFlight++
-		m.emit(QueryAdvice{Step: s.id, Workers: workerIDs, AnswerTime: answerTime, Urgent: q.Priority == 0})
+		m.emit(QueryAdvice{Step: s.id, Workers: a.unqueriedWorkers[:n:n], AnswerTime: answerTime, Urgent: q.Priority == 0})
+		a.unqueriedWorkers = a.unqueriedWorkers[n:]
 	}
 }
 
