Submit repeated jobs in the soak of the store

Cause: the soak had no job whose occurrences a new owner has to restore. Change: one job in eight has three occurrences, 0.4 s apart.

--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -448,16 +448,22 @@
 	}
 }
 
+// newSoakJob returns a job of two steps.
+func newSoakJob(id cell.JobID) *cell.Job {
+	return &cell.Job{
+		ID: id, Queue: cell.Queue{Name: soakQueueName, Service: "s", MaxAttempts: 9, CriticalPathFactor: 2, Target: time.Second},
+		Steps: []cell.Step{{Count: 2, Need: structs.Resources{MilliCPU: 500}}, {Count: 1, DependsOn: []int{0}, Need: structs.Resources{MilliCPU: 900}}},
+	}
+}
+
 // submit submits a job until it is accepted, and reports whether it was, or
 // whether every attempt was refused.
-func (c *soakCell) submit(id cell.JobID) (accepted, refused bool) {
+func (c *soakCell) submit(job *cell.Job) (accepted, refused bool) {
 	refused = true
 	for range 5 {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := c.node(c.rng.IntN(soakNodeCount)).Submit(ctx, &cell.Job{
-			ID: id, Queue: cell.Queue{Name: soakQueueName, Service: "s", MaxAttempts: 9, CriticalPathFactor: 2, Target: time.Second},
-			Steps: []cell.Step{{Count: 2, Need: structs.Resources{MilliCPU: 500}}, {Count: 1, DependsOn: []int{0}, Need: structs.Resources{MilliCPU: 900}}},
-		})
+		attempt := *job
+		err := c.node(c.rng.IntN(soakNodeCount)).Submit(ctx, &attempt)
 		cancel()
 		if err == nil {
 			return true, false
@@ -522,7 +528,7 @@
 		callers.Go(func() {
 			for k := 0; time.Now().Before(end); k++ {
 				id := cell.JobID(fmt.Sprintf("%08x%08x", caller, k))
-				wasAccepted, wasRefused := c.submit(id)
+				wasAccepted, wasRefused := c.submit(newSoakJob(id))
 				mu.Lock()
 				if wasAccepted {
 					accepted = append(accepted, id)
--- a/internal/cell/node/storesoak_test.go
+++ b/internal/cell/node/storesoak_test.go
@@ -145,11 +145,15 @@
 	pause()
 }
 
-// runCaller submits jobs until end and cancels some of them.
+// runCaller submits jobs until end, some of them repeated, and cancels some of them.
 func (s *storeSoak) runCaller(caller int, end time.Time) {
 	for k := 0; time.Now().Before(end); k++ {
 		id := cell.JobID(fmt.Sprintf("%08x%08x", caller, k))
-		if accepted, _ := s.submit(id); accepted {
+		job := newSoakJob(id)
+		if s.rng.IntN(8) == 0 {
+			job.Repeat, job.FirstDueAt, job.Interval = 3, time.Now(), 400*time.Millisecond
+		}
+		if accepted, _ := s.submit(job); accepted {
 			job := acceptedJob{id: id, acceptedAt: time.Now(), isCancelled: s.rng.IntN(10) == 0}
 			s.jobsMu.Lock()
 			s.jobs = append(s.jobs, job)
