Show that a small VM drops the progress that a takeover has loaded

Cause: until a takeover has loaded both topics there is no control loop, so that collectGarbage, once every 10 s, treats the VM as one that does not own the cell. It removes jobs of which no submission was seen, that is, all of which so far only the progress is loaded. A round of collectGarbage is a function of its own, collectOnce. Measured: the unfinished job is taken over without progress, so that its tasks would all be started again.

--- a/internal/cell/node/gc.go
+++ b/internal/cell/node/gc.go
@@ -31,13 +31,18 @@
 func (n *Node) collectGarbage(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, stateGCInterval)
-		if n.activeLoop() == nil {
-			if !isFollower(n.settings) {
-				n.replica.forgetBefore(bootTime() - n.settings.StatusRetention - retentionSlack)
-			}
-			continue
-		}
-		n.deleteExpired(ctx, bootTime()-n.settings.StatusRetention-retentionSlack)
+		n.collectOnce(ctx)
+	}
+}
+
+// collectOnce is one round of collectGarbage.
+func (n *Node) collectOnce(ctx context.Context) {
+	cutoff := bootTime() - n.settings.StatusRetention - retentionSlack
+	switch {
+	case n.activeLoop() != nil:
+		n.deleteExpired(ctx, cutoff)
+	case !isFollower(n.settings):
+		n.replica.forgetBefore(cutoff)
 	}
 }
 
--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -165,3 +165,41 @@
 	restarted := newFollower(t, store)
 	is.Equal(len(restarted.replica.unfinishedJobs(func(cell.JobID, error) {})), 0)
 }
+
+// TestTakeoverOfASmallVMKeepsWhatItLoads guards against tasks that run twice: a VM that is
+// no follower removed the progress that it had just loaded from its replica, because it did
+// not own the cell yet and had not loaded the submissions.
+func TestTakeoverOfASmallVMKeepsWhatItLoads(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	store := &cellstore.Store{}
+	write := func(topic cell.Topic, kv cell.KeyValue) {
+		_, err := store.Append(ctx, cell.Append{Topic: topic, ExpectedEnd: -1, Records: []cell.KeyValue{kv}})
+		is.NoErr(err)
+	}
+	value, err := cell.EncodeProgress(&cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
+		{LastRun: 1, OpenRuns: []cell.OpenRun{{Run: 1, Worker: "w", Born: 1}}},
+	}})
+	is.NoErr(err)
+	write(cell.TopicConfig, cell.KeyValue{Key: "config", Value: []byte(`{"Version":1}`)})
+	write(cell.TopicJobs, recordOf(t, "a"))
+	write(cell.TopicProgress, cell.KeyValue{Key: cell.ProgressKey("a"), Value: value})
+	n := New(Settings{Name: "vm", PeerAddr: "127.0.0.1:0", CPUCores: minFollowerCores / 2}, Ports{Store: store, Decoder: soakDecoder{}}, io.Discard)
+	store.SetFault(func(call string, topic cell.Topic) cellstore.Fault {
+		if call == "newest" && topic == cell.TopicJobs {
+			n.collectOnce(ctx)
+		}
+		return cellstore.None
+	})
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	for n.activeLoop() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	store.SetFault(nil)
+	jobs := n.replica.unfinishedJobs(func(cell.JobID, error) {})
+	cancel()
+	is.NoErr(<-done)
+	is.Equal(len(jobs), 1)
+	is.True(jobs[0].progress != nil)
+}
