Keep what a takeover loads in the replica of a small VM

Callers saw: after a takeover by a VM that is no follower, tasks that were done or running are started again, since the new owner knew the jobs and not their progress; or 410 for jobs that had ended. Cause: collectGarbage removes jobs of which no submission was seen from the replica of such a VM, once every 10 s, and did so also between the load of the progress and that of the jobs. The slower the store, the likelier that is: with 0.4 s for a page it is one takeover in ten or more. Change: while a VM holds the term, forgetBefore removes nothing. The condition is under the mutex of the replica, so that a round that has begun cannot remove what is loaded later. The share of takeovers is an estimate from the intervals, not a measurement.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -52,6 +52,8 @@
 	n.heartbeatAt.Store(int64(n.election.OwnedAt()))
 	n.holdsTerm.Store(true)
 	defer n.holdsTerm.Store(false)
+	n.replica.setKept(true)
+	defer n.replica.setKept(false)
 	c := newControlLoop(n, term)
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -17,6 +17,8 @@
 	unfinished map[cell.JobID]*jobEntry
 	// hasForgotten is true if forgetBefore has removed a job since the last clear.
 	hasForgotten bool
+	// isKept is true while this VM holds the term: forgetBefore then removes nothing.
+	isKept bool
 }
 
 // jobEntry is what the replica knows about a job.
@@ -300,6 +302,9 @@
 func (r *replica) forgetBefore(before time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isKept {
+		return
+	}
 	for id, e := range r.jobs {
 		if e.submittedAt < before {
 			r.hasForgotten = true
@@ -309,6 +314,14 @@
 	}
 }
 
+// setKept sets whether the VM holds the term, and so needs all jobs. runOwnership calls it
+// before the takeover loads the topics, and at the end of the term.
+func (r *replica) setKept(isKept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isKept = isKept
+}
+
 // isIncomplete reports whether jobs were forgotten that the topics may still hold. A
 // takeover calls it to find out whether it has to load them again.
 func (r *replica) isIncomplete() bool {
