Show that a worker that is removed during a gap stays listed

Cause: the newest records, which a reader loads after the store has dropped its position, do not contain deleted keys. The platform may delete records of the workers' topic at any time. The tracker of the workers' entries is created by a function of its own, newWorkerTracker.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -221,8 +221,8 @@
 // runOwnership starts it on its own goroutine after the takeover; it ends with
 // the term.
 func (n *Node) pollWorkers(ctx context.Context, c *controlLoop) {
-	tracker := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
-	reader := n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { tracker.applyRecords(ctx, records) })
+	tracker := newWorkerTracker(ctx, n, c)
+	reader := tracker.reader
 	for ctx.Err() == nil {
 		wasLoaded := reader.isLoaded.Load()
 		_, err := reader.read(ctx, 0)
@@ -240,10 +240,19 @@
 type workerTracker struct {
 	node          *Node
 	loop          *controlLoop
+	reader        *topicReader
 	workers       map[string]cell.Worker
 	configVersion int64
 }
 
+// newWorkerTracker returns a tracker that has read nothing. pollWorkers calls it once;
+// events are posted until ctx ends.
+func newWorkerTracker(ctx context.Context, n *Node, c *controlLoop) *workerTracker {
+	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
+	t.reader = n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { t.applyRecords(ctx, records) })
+	return t
+}
+
 // applyRecords posts the entries that were added, changed or removed, as one
 // event. The topic reader of the workers' entries calls it after each read, on
 // the goroutine of pollWorkers.
--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -203,3 +203,28 @@
 	is.Equal(len(jobs), 1)
 	is.True(jobs[0].progress != nil)
 }
+
+// TestWorkerRemovedDuringAGapIsRemoved guards against runs that wait on a worker that has
+// left: its entry was deleted, and the store dropped the deletion before the owner read it.
+func TestWorkerRemovedDuringAGapIsRemoved(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	write := func(key, value string) {
+		_, err := store.Append(ctx, cell.Append{Topic: cell.TopicWorkers, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: key, Value: []byte(value)}}})
+		is.NoErr(err)
+	}
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1"}, Ports{Store: store, Decoder: soakDecoder{}}, io.Discard)
+	tracker := newWorkerTracker(ctx, n, newControlLoop(n, 1))
+	write("left", `{"ID":"left","Service":"s","Addr":"a:1"}`)
+	write("stays", `{"ID":"stays","Service":"s","Addr":"a:2"}`)
+	is.NoErr(tracker.reader.readToEnd(ctx))
+	is.Equal(len(tracker.workers), 2)
+	write("left", "")
+	write("new", `{"ID":"new","Service":"s","Addr":"a:3"}`)
+	store.Forget(cell.TopicWorkers)
+	is.NoErr(tracker.reader.readToEnd(ctx))
+	_, known := tracker.workers["left"]
+	is.True(!known)
+	is.Equal(len(tracker.workers), 2)
+}
