Remove workers that are missing when their entries are loaded again

Callers saw: nothing that was traced. The owner would count and probe workers that have left, for as long as it owns the cell, and plan with them. Cause: a deletion that the store dropped before the owner read it was never seen. The platform may delete records of the workers' topic at any time, and keeps the newest record of each key that has one. Change: a topic reader may know the keys that its owner holds, and applies those that are missing from the newest records as deleted. The reader of the workers' entries does. If an entry is missing by mistake, the worker's next heartbeat lists it again, since it comes after the position of the load.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -250,6 +252,7 @@
 func newWorkerTracker(ctx context.Context, n *Node, c *controlLoop) *workerTracker {
 	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
 	t.reader = n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { t.applyRecords(ctx, records) })
+	t.reader.knownKeys = func() []string { return slices.Collect(maps.Keys(t.workers)) }
 	return t
 }
 
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -35,7 +35,11 @@
 	topic cell.Topic
 	// apply is called with the records of each read, in order.
 	apply func([]cell.KeyValue)
-	log   func(message string, details ...any)
+	// knownKeys returns the keys that were applied and not deleted. Those that are
+	// missing when the newest records are loaded again are applied as deleted. It is nil
+	// for topics whose deletions may be missed.
+	knownKeys func() []string
+	log       func(message string, details ...any)
 
 	wakeup     chan struct{}
 	mu         sync.Mutex
@@ -62,7 +66,7 @@
 		return err
 	}
 	t.logUnreadable(batch)
-	t.apply(batch.Records)
+	t.apply(append(batch.Records, t.deletions(batch)...))
 	t.nextOffset.Store(max(batch.Next, 0))
 	t.isLoaded.Store(true)
 	t.loadedAt.Store(int64(bootTime()))
@@ -71,6 +75,25 @@
 	return nil
 }
 
+// deletions returns a record without a value for each known key that is not among the
+// newest records. loadNewest calls it.
+func (t *topicReader) deletions(newest cell.Batch) []cell.KeyValue {
+	if t.knownKeys == nil {
+		return nil
+	}
+	present := map[string]bool{}
+	for _, r := range newest.Records {
+		present[r.Key] = true
+	}
+	var out []cell.KeyValue
+	for _, key := range t.knownKeys() {
+		if !present[key] {
+			out = append(out, cell.KeyValue{Key: key})
+		}
+	}
+	return out
+}
+
 // unload makes the next read load the newest records again. forget removes what was
 // applied, and runs while no read does. A takeover calls it if the replica is incomplete.
 func (t *topicReader) unload(forget func()) {
