--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +54,8 @@
 	n.heartbeatAt.Store(int64(n.election.OwnedAt()))
 	n.holdsTerm.Store(true)
 	defer n.holdsTerm.Store(false)
+	n.replica.setKept(true)
+	defer n.replica.setKept(false)
 	c := newControlLoop(n, term)
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -106,7 +110,7 @@
 func (n *Node) takeOver(ctx context.Context, c *controlLoop) error {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
-	if !isFollower(n.settings) {
+	if n.replica.isIncomplete() {
 		n.unloadTopics()
 	}
 	steps := []struct {
@@ -219,8 +223,8 @@
 // runOwnership starts it on its own goroutine after the takeover; it ends with
 // the term.
 func (n *Node) pollWorkers(ctx context.Context, c *controlLoop) {
-	tracker := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
-	reader := n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { tracker.applyRecords(ctx, records) })
+	tracker := newWorkerTracker(ctx, n, c)
+	reader := tracker.reader
 	for ctx.Err() == nil {
 		wasLoaded := reader.isLoaded.Load()
 		_, err := reader.read(ctx, 0)
@@ -238,10 +242,20 @@
 type workerTracker struct {
 	node          *Node
 	loop          *controlLoop
+	reader        *topicReader
 	workers       map[string]cell.Worker
 	configVersion int64
 }
 
+// newWorkerTracker returns a tracker that has read nothing. pollWorkers calls it once;
+// events are posted until ctx ends.
+func newWorkerTracker(ctx context.Context, n *Node, c *controlLoop) *workerTracker {
+	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
+	t.reader = n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { t.applyRecords(ctx, records) })
+	t.reader.knownKeys = func() []string { return slices.Collect(maps.Keys(t.workers)) }
+	return t
+}
+
 // applyRecords posts the entries that were added, changed or removed, as one
 // event. The topic reader of the workers' entries calls it after each read, on
 // the goroutine of pollWorkers.
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -15,6 +15,10 @@
 	jobs map[cell.JobID]*jobEntry
 	// unfinished holds the jobs that have not ended, for the counts.
 	unfinished map[cell.JobID]*jobEntry
+	// hasForgotten is true if forgetBefore has removed a job since the last clear.
+	hasForgotten bool
+	// isKept is true while this VM holds the term: forgetBefore then removes nothing.
+	isKept bool
 }
 
 // jobEntry is what the replica knows about a job.
@@ -298,19 +302,39 @@
 func (r *replica) forgetBefore(before time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isKept {
+		return
+	}
 	for id, e := range r.jobs {
 		if e.submittedAt < before {
+			r.hasForgotten = true
 			delete(r.jobs, id)
 			delete(r.unfinished, id)
 		}
 	}
 }
 
-// clear removes all jobs. A takeover calls it before it loads the topics on a VM that is
-// no follower.
+// setKept sets whether the VM holds the term, and so needs all jobs. runOwnership calls it
+// before the takeover loads the topics, and at the end of the term.
+func (r *replica) setKept(isKept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isKept = isKept
+}
+
+// isIncomplete reports whether jobs were forgotten that the topics may still hold. A
+// takeover calls it to find out whether it has to load them again.
+func (r *replica) isIncomplete() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasForgotten
+}
+
+// clear removes all jobs. A takeover calls it before it loads the topics again.
 func (r *replica) clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.hasForgotten = false
 	r.jobs, r.unfinished = map[cell.JobID]*jobEntry{}, map[cell.JobID]*jobEntry{}
 }
 
