Show that the runs of a dead worker wait 11.3 s for a new owner

What callers see: a worker dies, the owner is replaced within 6 s of that, and a job whose last run was there, or a gang with a member there, has nothing running for 13 s and more, though the cell is calm and mostly free. Cause: a new owner gives up a recorded run on a worker that does not answer 11.3 s after its takeover: a former owner may renew leases for 5 s after its last accepted heartbeat, a lease lasts 6.1 s on the slowest clock, and 0.2 s are a margin. The 5 s count from the takeover also if the former owner had resigned, or its process had ended, and renews nothing. Not changed here: the election has to say that all former owners have ended, which needs the age of the term in its records (an owner before the last may still renew leases) and a margin for requests that are carried out late.

--- a/internal/cell/owner/idle_test.go
+++ b/internal/cell/owner/idle_test.go
@@ -51,3 +51,25 @@
 	}
 	is.Equal(len(actionsOf[SendStart](f)), 2)
 }
+
+// TestRunOfADeadWorkerStartsElsewhereInTime guards against a job that has nothing running for 3 s at the end of a day because the owner was replaced after its worker had died.
+func TestRunOfADeadWorkerStartsElsewhereInTime(t *testing.T) {
+	is := is.New(t)
+	// Jobs are judged 14 s after the end of the traffic; 3 s pass until the VMs that were stopped at its end own the cell again, 2 s take two rounds of advice.
+	const limit = (14 - 3 - 2) * time.Second
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500)), Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
+		{LastRun: 1, OpenRuns: []cell.OpenRun{{Index: 0, Run: 1, Worker: "dead", Born: 1}}},
+	}}})
+	for f.now < limit {
+		f.now += 25 * time.Millisecond
+		f.answerRenewal()
+		f.apply(HeartbeatStored{SentAt: f.now})
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+		if f.now <= simLeaseLimit {
+			is.Equal(len(actionsOf[SendStart](f)), 0) // the worker may be alive and hold a lease
+		}
+	}
+	is.Equal(len(actionsOf[SendStart](f)), 1)
+}
