Count the authority of former owners only while they may use it

Change: a new owner finds out until when former ones may renew leases. If the last one has resigned, was an earlier process of this VM, or another process answers at its address, its authority ended with it; that of the owners before it is in its records (f, for how many milliseconds, written once the writer has fenced the progress; 0 is unknown, as in records of earlier builds). Otherwise the 5 s count from the moment at which the progress is fenced; they counted from the claim before, though a former owner's batch could be accepted until then. 2 s for requests that are carried out late remain, so that a run is given up after 8.3 s instead of 11.3 s. Silence and a refused connection prove nothing; a worker that restarts in the new term keeps the 5 s.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -66,6 +66,9 @@
 	Instance string `json:"i"`
 	// Resigned is set by an owner that gives the cell up.
 	Resigned bool `json:"r,omitempty"`
+	// FormerRenewalsMS is for how many milliseconds after this record was sent an owner
+	// of an earlier term may renew leases: 0 if that is not known, else at least 1.
+	FormerRenewalsMS int64 `json:"f,omitempty"`
 }
 
 // Options are the identity of this VM and the callbacks of an Election. The
@@ -127,6 +130,14 @@
 	// twice: its number is the fencing token of one ownership, whose batches of progress
 	// are numbered from 0.
 	returnedTerm int64
+	// endedInstance is the instance of an owner whose process was last reported to have
+	// certainly ended.
+	endedInstance atomic.Pointer[string]
+	// former is the owner before this VM's last claim.
+	former formerOwner
+	// formerRenewalsEnd is until when an owner of an earlier term may renew leases, on
+	// the clock of Options.Now; 0 if that is not known.
+	formerRenewalsEnd atomic.Int64
 	// suspects receives the instance of an owner whose process is reported to have
 	// ended.
 	suspects chan string
@@ -155,6 +166,13 @@
 	}
 }
 
+// ReportEnded is Suspect for a process that has certainly ended, since another one answers
+// at its address. A refused connection is no proof: a network that is cut may refuse it.
+func (e *Election) ReportEnded(instance string) {
+	e.endedInstance.Store(&instance)
+	e.Suspect(instance)
+}
+
 // TakeOver reports that an owner has resigned in favour of this VM, which then
 // claims the cell without ClaimDelay. Package node calls it when an owner that is
 // about to stop asks this VM to succeed it; instance is the instance of that owner,
@@ -418,6 +436,8 @@
 // calls it once the owner is down and no other VM has claimed the cell.
 func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
 	rec := OwnerRecord{Term: max(e.lastRecord.Term, e.nextOffset) + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
+	e.former = formerOwner{record: e.lastRecord, hasEnded: e.hasEndedForSure(e.lastRecord), lastOffset: e.nextOffset - 1}
+	e.formerRenewalsEnd.Store(0)
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	var conflict *cell.ConflictError
@@ -510,7 +530,7 @@
 // writeHeartbeat appends one heartbeat for SendHeartbeats. A conflict may come from an
 // earlier heartbeat of this VM whose answer was lost; that one then counts as accepted.
 func (e *Election) writeHeartbeat(ctx context.Context) error {
-	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
+	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, FormerRenewalsMS: e.formerRenewalsMS()}
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	if err == nil {
@@ -550,7 +570,7 @@
 	if !e.ownsLastRecord() {
 		return e.deposedError()
 	}
-	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true}
+	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true, FormerRenewalsMS: e.formerRenewalsMS()}
 	err := e.appendResignation(ctx, rec)
 	var conflict *cell.ConflictError
 	if !errors.As(err, &conflict) {
--- /dev/null
+++ b/internal/cell/election/former.go
@@ -0,0 +1,75 @@
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"gypsumwinch/internal/cell"
+)
+
+// formerOwner is the owner before a claim.
+type formerOwner struct {
+	// record is its newest record that was read, the zero value if there was no owner.
+	record OwnerRecord
+	// hasEnded is true if its ownership had certainly ended before the claim.
+	hasEnded bool
+	// lastOffset is the offset of its last record, which is the one before the claim.
+	lastOffset int64
+}
+
+// hasEndedForSure reports whether the ownership that wrote a record has certainly ended,
+// so that it renews no lease any more: there is none, it has resigned, or another process
+// answers at its address (ReportEnded). An owner that is silent, or refuses connections,
+// may still renew leases. claim calls it with the newest record.
+func (e *Election) hasEndedForSure(r OwnerRecord) bool {
+	ended := e.endedInstance.Load()
+	return r.Term == 0 || r.Resigned || e.hasEnded(r) || ended != nil && *ended == r.Instance
+}
+
+// FindFormerRenewalsEnd returns until when an owner of an earlier term may renew leases,
+// on the clock of Options.Now, and reports it in this VM's further records. The store
+// must accept no progress of earlier terms since fencedAt. An owner renews leases for
+// authority after the store has last accepted a record of it. Package node calls it in
+// a takeover, while SendHeartbeats may run.
+//
+// An owner before the last one may have been silent and still have its authority, so the
+// result is earlier than fencedAt + authority only if the last one has ended and its
+// last record says when the others have.
+func (e *Election) FindFormerRenewalsEnd(ctx context.Context, fencedAt, authority time.Duration) time.Duration {
+	end := fencedAt + authority
+	if e.former.hasEnded {
+		end = min(end, e.earlierRenewalsEnd(ctx, fencedAt, end))
+	}
+	e.formerRenewalsEnd.Store(max(1, int64(end)))
+	return end
+}
+
+// earlierRenewalsEnd returns until when owners before the former one may renew leases:
+// at least fencedAt, or unknown if the last record of the former owner does not say it
+// or cannot be read. FindFormerRenewalsEnd calls it.
+func (e *Election) earlierRenewalsEnd(ctx context.Context, fencedAt, unknown time.Duration) time.Duration {
+	if e.former.record.Term == 0 {
+		return fencedAt
+	}
+	batch, err := e.store.Read(ctx, cell.TopicOwner, e.former.lastOffset, 0)
+	if err != nil || len(batch.Records) == 0 {
+		return unknown
+	}
+	var last OwnerRecord
+	err = json.Unmarshal(batch.Records[0].Value, &last)
+	if err != nil || last.Term != e.former.record.Term || last.Instance != e.former.record.Instance || last.FormerRenewalsMS <= 0 {
+		return unknown
+	}
+	return max(fencedAt, e.opts.Now()+time.Duration(last.FormerRenewalsMS)*time.Millisecond)
+}
+
+// formerRenewalsMS returns the value of OwnerRecord.FormerRenewalsMS for a record that
+// is sent now.
+func (e *Election) formerRenewalsMS() int64 {
+	end := time.Duration(e.formerRenewalsEnd.Load())
+	if end == 0 {
+		return 0
+	}
+	return max(0, (end-e.opts.Now()).Milliseconds()) + 1
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -501,6 +501,8 @@
 // claimed with. The election calls it for each such record, on the goroutine
 // of Campaign or of SendHeartbeats.
 func (n *Node) setOwnerFromStore(r election.OwnerRecord) {
+	// Other VMs do not report it, and records are compared with theirs.
+	r.FormerRenewalsMS = 0
 	old := n.ownerRecord.Swap(&r)
 	if old == nil || old.Term != r.Term || old.Resigned != r.Resigned {
 		n.log.Info("owner of the cell", "owner", r.Node, "term", r.Term, "resigned", r.Resigned)
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -108,16 +108,25 @@
 // machine. runOwnership calls it at the start of each term, on the goroutine
 // of campaign, while another goroutine already sends heartbeats.
 func (n *Node) takeOver(ctx context.Context, c *controlLoop) error {
+	var formerRenewals sync.WaitGroup
+	defer formerRenewals.Wait()
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	if n.replica.isIncomplete() {
 		n.unloadTopics()
 	}
+	var renewalsEnd time.Duration
 	steps := []struct {
 		name string
 		do   func(context.Context) error
 	}{
-		{"fence the progress", c.fenceProgress},
+		{"fence the progress", func(ctx context.Context) error {
+			fencedAt, err := c.fenceProgress(ctx)
+			if err == nil {
+				formerRenewals.Go(func() { renewalsEnd = n.election.FindFormerRenewalsEnd(ctx, fencedAt, owner.AuthorityTimeout) })
+			}
+			return err
+		}},
 		{"read the progress", n.progressReader.readToEnd},
 		{"read the jobs", n.jobsReader.readToEnd},
 		{"read the configuration", n.requireConfig},
@@ -135,6 +144,8 @@
 			sleep(ctx, takeoverRetryInterval)
 		}
 	}
+	formerRenewals.Wait()
+	c.machine.Apply(eventTime(), owner.FormerOwnersFenced{RenewalsEnd: renewalsEnd})
 	c.loadState()
 	return nil
 }
@@ -158,14 +169,14 @@
 	return nil
 }
 
-// fenceProgress makes the store refuse progress records of former owners. It
-// is the first step of a takeover, which retries it unless a later owner has
+// fenceProgress makes the store refuse progress records of former owners, and returns
+// since when it does. It is the first step of a takeover, which retries it unless a later owner has
 // fenced this one.
-func (c *controlLoop) fenceProgress(ctx context.Context) error {
+func (c *controlLoop) fenceProgress(ctx context.Context) (fencedAt time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := c.node.store.Append(ctx, cell.Append{Topic: cell.TopicProgress, ExpectedEnd: -1, Epoch: c.term})
-	return err
+	_, err = c.node.store.Append(ctx, cell.Append{Topic: cell.TopicProgress, ExpectedEnd: -1, Epoch: c.term})
+	return bootTime(), err
 }
 
 // loadState passes the recorded state to the state machine. From here on new
--- a/internal/cell/owner/events.go
+++ b/internal/cell/owner/events.go
@@ -118,6 +118,14 @@
 // BatchStored reports that the store accepted a batch of TakeBatch.
 type BatchStored struct{ Batch int }
 
+// FormerOwnersFenced reports until when a former owner may renew leases. Until it is
+// applied, a former owner counts as active for AuthorityTimeout after the start of the
+// term.
+type FormerOwnersFenced struct {
+	// RenewalsEnd is on the clock of Time.Mono.
+	RenewalsEnd time.Duration
+}
+
 // HeartbeatStored reports that the store accepted a heartbeat of this owner, or a
 // batch of its term.
 type HeartbeatStored struct {
@@ -128,18 +136,19 @@
 // Tick reports that time has passed.
 type Tick struct{}
 
-func (JobSubmitted) event()    {}
-func (JobCancelled) event()    {}
-func (ConfigChanged) event()   {}
-func (WorkersListed) event()   {}
-func (RenewResult) event()     {}
-func (StartResult) event()     {}
-func (StopResult) event()      {}
-func (PaceResult) event()      {}
-func (AdviceResult) event()    {}
-func (BatchStored) event()     {}
-func (HeartbeatStored) event() {}
-func (Tick) event()            {}
+func (JobSubmitted) event()       {}
+func (JobCancelled) event()       {}
+func (ConfigChanged) event()      {}
+func (WorkersListed) event()      {}
+func (RenewResult) event()        {}
+func (StartResult) event()        {}
+func (StopResult) event()         {}
+func (PaceResult) event()         {}
+func (AdviceResult) event()       {}
+func (BatchStored) event()        {}
+func (HeartbeatStored) event()    {}
+func (FormerOwnersFenced) event() {}
+func (Tick) event()               {}
 
 // Action is an output of the Machine.
 type Action interface{ action() }
--- a/internal/cell/owner/idle_test.go
+++ b/internal/cell/owner/idle_test.go
@@ -72,6 +72,7 @@
 	// Jobs are judged 14 s after the end of the traffic; 3 s pass until the VMs that were stopped at its end own the cell again, 2 s take two rounds of advice.
 	const limit = (14 - 3 - 2) * time.Second
 	f := newFixture(t, 1000)
+	f.apply(FormerOwnersFenced{RenewalsEnd: f.now}) // the processes of all former owners have ended
 	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500)), Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
 		{LastRun: 1, OpenRuns: []cell.OpenRun{{Index: 0, Run: 1, Worker: "dead", Born: 1}}},
 	}}})
@@ -87,3 +88,19 @@
 	}
 	is.Equal(len(actionsOf[SendStart](f)), 1)
 }
+
+// TestRunsWaitForTheAuthorityOfASilentOwner guards against a task that starts twice because a silent former owner still renews the lease of its worker.
+func TestRunsWaitForTheAuthorityOfASilentOwner(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500)), Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
+		{LastRun: 1, OpenRuns: []cell.OpenRun{{Index: 0, Run: 1, Worker: "dead", Born: 1}}},
+	}}})
+	for f.now < AuthorityTimeout+simLeaseLimit {
+		f.now += 25 * time.Millisecond
+		f.answerRenewal()
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+	}
+	is.Equal(len(actionsOf[SendStart](f)), 0)
+}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -32,6 +32,9 @@
 	// accepted its heartbeat. Outages of the store last up to 9 s; leases last
 	// another 6 s after the last renewal.
 	AuthorityTimeout = 5 * time.Second
+	// lateRequestMargin is how late a worker may carry out a request of a former owner
+	// that has ended.
+	lateRequestMargin = 2 * time.Second
 	// minClockRate is the rate of the slowest worker clock, as the platform
 	// specifies it.
 	minClockRate = 0.98
@@ -77,6 +80,8 @@
 	statsByQueue  map[string]*queueStats
 	// storeReachedAt is when the last heartbeat was sent that the store accepted.
 	storeReachedAt time.Duration
+	// formerRenewalsEnd is until when a former owner may renew leases.
+	formerRenewalsEnd time.Duration
 
 	dirtyJobs map[cell.JobID]*job
 	// startedJobs are the jobs whose first task has started since
@@ -108,6 +113,9 @@
 		opts:           opts,
 		startedAt:      now.Mono,
 		storeReachedAt: opts.OwnedAt,
+
+		formerRenewalsEnd: now.Mono + AuthorityTimeout,
+
 		now:            now,
 		rand:           rand.New(rand.NewPCG(opts.Seed, uint64(opts.Term))),
 		jobs:           map[cell.JobID]*job{},
@@ -149,6 +157,8 @@
 		m.handleBatchStored(e.Batch)
 	case HeartbeatStored:
 		m.storeReachedAt = max(m.storeReachedAt, e.SentAt)
+	case FormerOwnersFenced:
+		m.formerRenewalsEnd = e.RenewalsEnd
 	case Tick:
 		m.tick()
 	}
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -205,6 +205,10 @@
 	o := &simOwner{sim: s, term: s.term}
 	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
 	s.owner = o
+	if s.term%2 == 0 {
+		// The new owner knows that the former ones have ended; otherwise they count as silent.
+		o.apply(FormerOwnersFenced{RenewalsEnd: s.now})
+	}
 	o.apply(ConfigChanged{Config: s.config})
 	for _, id := range s.sortedJobIDs() {
 		j := s.jobs[id]
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -233,13 +233,24 @@
 // closeExpiredRuns calls it.
 func (m *Machine) isLeaseExpired(w *worker) bool {
 	if !w.hasAnswered {
-		longestLease := AuthorityTimeout + time.Duration(float64(m.opts.LeaseLimit)/minClockRate) + leaseMargin
-		return m.now.Mono-max(m.startedAt, w.clockReadAt) > longestLease
+		longestLease := time.Duration(float64(m.opts.LeaseLimit)/minClockRate) + leaseMargin
+		return m.now.Mono-m.lastRenewalAt(w) > longestLease
 	}
 	elapsed := float64(m.now.Mono-w.clockReadAt-leaseMargin) * minClockRate
 	return w.clock+time.Duration(elapsed) > w.leaseEnd
 }
 
+// lastRenewalAt returns the latest time at which the lease of a worker that has not
+// answered this owner may have been renewed: by a former owner or, if the worker has
+// restarted since, by a request that was under way. isLeaseExpired calls it.
+func (m *Machine) lastRenewalAt(w *worker) time.Duration {
+	latest := max(m.formerRenewalsEnd, m.startedAt+lateRequestMargin)
+	if w.clockReadAt > m.startedAt {
+		latest = max(latest, w.clockReadAt+AuthorityTimeout)
+	}
+	return latest
+}
+
 // tickWorker does everything that is due for a worker: it closes the runs of
 // an expired lease, sends the next renewal, repeats unanswered requests and
 // removes an unused worker. It runs for every worker on each Tick.
