Show that a slow store without an owner answers no submission

Cause: an attempt to append takes up to 1.5 s. While the store is slow, the wait for an owner takes 1.2 s of it; the append that follows has 0.3 s, less than the store's latency of 0.35 s.

--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -228,3 +228,32 @@
 	is.True(!known)
 	is.Equal(len(tracker.workers), 2)
 }
+
+// slowAnswerStore executes an append at once and answers after delay, or not at all if the
+// caller does not wait.
+type slowAnswerStore struct {
+	cell.Store
+	delay time.Duration
+}
+
+func (s slowAnswerStore) Append(ctx context.Context, a cell.Append) (int64, error) {
+	end, err := s.Store.Append(ctx, a)
+	sleep(ctx, s.delay)
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	return end, err
+}
+
+// TestSubmissionWithoutAnOwnerIsAnsweredInASlowStore guards against accepted jobs without an
+// answer: the wait for an owner left less time for the append than a slow store takes.
+func TestSubmissionWithoutAnOwnerIsAnsweredInASlowStore(t *testing.T) {
+	is := is.New(t)
+	const latency = 350 * time.Millisecond
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1"}, Ports{Store: slowAnswerStore{&cellstore.Store{}, latency}}, io.Discard)
+	n.storeRouter.latency.Store(int64(latency))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go n.committer.run(ctx)
+	is.NoErr(n.committer.append(ctx, []cell.KeyValue{recordOf(t, "a")}))
+}
