Bound an attempt to append after the wait for an owner

Callers saw: no answer to submissions that the store had appended, while the store is slow and there is no owner for more than a second. Cause: the wait for an owner, 1.2 s, was part of the attempt of 1.5 s, so that the append had 0.3 s; a slow store takes 0.35 to 0.4 s. Change: the attempt is bounded in Node.commit, after the wait, instead of in the committer.

--- a/internal/cell/node/committer.go
+++ b/internal/cell/node/committer.go
@@ -69,7 +69,8 @@
 // they can be reported as not executed. Appending a batch again is harmless
 // because its records are the same.
 type committer struct {
-	// appendRecords appends the records of one batch to topic jobs.
+	// appendRecords makes one attempt to append the records of one batch to topic
+	// jobs. It bounds the attempt by commitAttemptTimeout.
 	appendRecords func(ctx context.Context, records []cell.KeyValue) error
 	// storeLatency returns the latency of the store's last answer.
 	storeLatency func() time.Duration
@@ -209,8 +210,6 @@
 // tryCommit makes one attempt to append a batch. commitBatch calls it for each
 // attempt.
 func (c *committer) tryCommit(ctx context.Context, batch []queuedAppend) error {
-	ctx, cancel := context.WithTimeout(ctx, commitAttemptTimeout)
-	defer cancel()
 	err := c.appendRecords(ctx, batchRecords(batch))
 	if err == nil {
 		c.storeDownSince.Store(0)
--- a/internal/cell/node/submit.go
+++ b/internal/cell/node/submit.go
@@ -47,11 +47,12 @@
 	if owner == nil && n.storeRouter.isSlow() {
 		owner = n.awaitResponsiveOwner(ctx)
 	}
+	// The attempt begins after the wait, which would leave less than a slow store takes.
+	ctx, cancel := context.WithTimeout(ctx, commitAttemptTimeout)
+	defer cancel()
 	if n.activeLoop() != nil || owner == nil {
 		return n.commitDirect(ctx, records)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	viaOwner := make(chan error, 1)
 	go func() { viaOwner <- submitToOwner(ctx, owner, records) }()
 	err, answered := n.awaitOwner(ctx, viaOwner)
