Check in the soak of the store that no term is used by two processes

Cause: the soak saw the effect of such a term only if a job did not end. Change: the owners are sampled every 5 ms; a term with two processes is a violation. The checks end before the test reports, also if it fails.

--- a/internal/cell/node/storesoak_test.go
+++ b/internal/cell/node/storesoak_test.go
@@ -198,6 +198,25 @@
 	}
 }
 
+// checkTerms samples the owners until ctx ends: no two processes own the cell in one term.
+func (s *storeSoak) checkTerms(ctx context.Context) {
+	owners := map[int64]string{}
+	for ctx.Err() == nil {
+		sleep(ctx, 5*time.Millisecond)
+		for i := range soakNodeCount {
+			n := s.node(i)
+			loop := n.activeLoop()
+			if loop == nil {
+				continue
+			}
+			if other, seen := owners[loop.term]; seen && other != n.instance {
+				s.fleet.addViolation(fmt.Sprintf("term %d is used by two processes, of which one is of node %d", loop.term, i))
+			}
+			owners[loop.term] = n.instance
+		}
+	}
+}
+
 // checkEnd waits until every node reports the end of every accepted job.
 func (s *storeSoak) checkEnd(t *testing.T) {
 	t.Helper()
@@ -244,6 +263,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var checks, callers sync.WaitGroup
 	checks.Go(func() { s.checkStates(ctx) })
+	checks.Go(func() { s.checkTerms(ctx) })
 	for caller := range 4 {
 		callers.Go(func() { s.runCaller(caller, end) })
 	}
@@ -252,9 +272,10 @@
 	}
 	callers.Wait()
 	t.Logf("seed %d: %d jobs accepted", *soakSeed, len(s.jobs))
+	// checkEnd may end the test.
+	defer checks.Wait()
+	defer cancel()
 	s.checkEnd(t)
-	cancel()
-	checks.Wait()
 	if len(s.jobs) == 0 {
 		t.Fatal("no job was accepted")
 	}
