Take a restarted process as proof that the former owner has ended

A claim often follows a refused connection, which proves nothing, some tenths of a second before the former owner's process is started again. The new owner now asks at that address for as long as the former one may have authority; another process there ends the wait for its leases, and the end is in the records for later owners.

TestProofOfAnEndMayFollowTheClaim covers the election; package node passes with -race.

--- a/internal/cell/election/former.go
+++ b/internal/cell/election/former.go
@@ -45,12 +45,31 @@
 	return end
 }
 
+// FormerOwner returns the address and the instance of the owner before this VM's last
+// claim if it may still renew leases, else "". Package node calls it after a takeover.
+func (e *Election) FormerOwner() (addr, instance string) {
+	if e.former.hasEnded {
+		return "", ""
+	}
+	return e.former.record.Addr, e.former.record.Instance
+}
+
+// FormerOwnerEnded takes note that the owner before this VM's last claim has ended by now,
+// and returns until when an owner of an earlier term may renew leases. It must follow
+// FindFormerRenewalsEnd in the same term.
+func (e *Election) FormerOwnerEnded(ctx context.Context) time.Duration {
+	end := time.Duration(e.formerRenewalsEnd.Load())
+	end = min(end, e.earlierRenewalsEnd(ctx, e.opts.Now(), end))
+	e.formerRenewalsEnd.Store(int64(end))
+	return end
+}
+
 // earlierRenewalsEnd returns until when owners before the former one may renew leases:
-// at least fencedAt, or unknown if the last record of the former owner does not say it
-// or cannot be read. FindFormerRenewalsEnd calls it.
-func (e *Election) earlierRenewalsEnd(ctx context.Context, fencedAt, unknown time.Duration) time.Duration {
+// at least endedAt, when that one had ended, or unknown if its last record does not say
+// it or cannot be read. FindFormerRenewalsEnd and FormerOwnerEnded call it.
+func (e *Election) earlierRenewalsEnd(ctx context.Context, endedAt, unknown time.Duration) time.Duration {
 	if e.former.record.Term == 0 {
-		return fencedAt
+		return endedAt
 	}
 	batch, err := e.store.Read(ctx, cell.TopicOwner, e.former.lastOffset, 0)
 	if err != nil || len(batch.Records) == 0 {
@@ -61,7 +80,7 @@
 	if err != nil || last.Term != e.former.record.Term || last.Instance != e.former.record.Instance || last.FormerRenewalsMS <= 0 {
 		return unknown
 	}
-	return max(fencedAt, e.opts.Now()+time.Duration(last.FormerRenewalsMS)*time.Millisecond)
+	return max(endedAt, e.opts.Now()+time.Duration(last.FormerRenewalsMS)*time.Millisecond)
 }
 
 // formerRenewalsMS returns the value of OwnerRecord.FormerRenewalsMS for a record that
--- a/internal/cell/election/former_test.go
+++ b/internal/cell/election/former_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// TestProofOfAnEndMayFollowTheClaim guards against runs that wait for the authority of an owner whose process restarts just after it was replaced.
+func TestProofOfAnEndMayFollowTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		begin := time.Now()
+		store := &cellstore.Store{}
+		a := loadedElection(t, store, "a")
+		b := loadedElection(t, store, "b")
+		sharedClock(begin, a, b)
+		claimAndFence(t, a)
+		is.NoErr(a.writeHeartbeat(ctx))
+		_, err := b.confirmLastOwner(ctx, "a-1")
+		is.NoErr(err)
+		is.Equal(claimAndFence(t, b), testAuthority)
+		_, instance := b.FormerOwner()
+		is.Equal(instance, "a-1")
+		time.Sleep(time.Second)
+		is.True(b.FormerOwnerEnded(ctx) <= time.Second+10*time.Millisecond)
+	})
+}
+
 // TestAuthorityOfAnOwnerBeforeTheLastCounts guards against a task that starts although the owner before the last one is only silent.
 func TestAuthorityOfAnOwnerBeforeTheLastCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -68,6 +68,7 @@
 		n.log.Info("owning the cell", "term", term, "after_ms", (bootTime() - startedAt).Milliseconds())
 		n.metrics.ownerTerm.Set(float64(term))
 		wg.Go(func() { n.runLoop(termCtx, "workers", func(ctx context.Context) { n.pollWorkers(ctx, c) }) })
+		wg.Go(func() { n.awaitFormerOwnersEnd(termCtx, c) })
 		if p := n.panics.contain("control loop", func() { err = c.run(termCtx) }); p != nil {
 			// The state in memory may be inconsistent; that in the store is not.
 			err = eris.Wrap(errResigned, p.Error())
@@ -160,6 +161,25 @@
 	})
 }
 
+// awaitFormerOwnersEnd asks at the address of the former owner which process answers there,
+// for as long as it may have authority. Another process proves that the former one has
+// ended; the claim may have followed a refused connection, before it was started.
+// runOwnership calls it on its own goroutine after the takeover.
+func (n *Node) awaitFormerOwnersEnd(ctx context.Context, c *controlLoop) {
+	addr, instance := n.election.FormerOwner()
+	if addr == "" {
+		return
+	}
+	for deadline := bootTime() + owner.AuthorityTimeout; ctx.Err() == nil && bootTime() < deadline; sleep(ctx, helloInterval) {
+		resp, err := n.sendHello(ctx, n.peer(addr))
+		if err != nil || resp.Instance == instance {
+			continue
+		}
+		c.post(ctx, owner.FormerOwnersFenced{RenewalsEnd: n.election.FormerOwnerEnded(ctx)})
+		return
+	}
+}
+
 // requireConfig fails while no configuration is known. It is the last step of
 // a takeover, which retries it after a failure.
 func (n *Node) requireConfig(context.Context) error {
