Test a claim that is executed without an answer to it or to its confirmation

No test failed if such a record of this process was taken for an ended ownership, or if its term was not noted as owned.

--- a/internal/cell/election/resign_test.go
+++ b/internal/cell/election/resign_test.go
@@ -134,3 +134,36 @@
 	is.True(won)
 	is.True(again > term)
 }
+
+// TestClaimThatWasExecutedLateIsOwnedOnce guards against a claim without an answer that is made again although it was executed, and against its term being owned twice.
+func TestClaimThatWasExecutedLateIsOwnedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		store := &cellstore.Store{}
+		isClaimed := false
+		store.SetFault(func(call string, _ cell.Topic) cellstore.Fault {
+			switch {
+			case call == "append":
+				isClaimed = true
+				return cellstore.LoseAnswer
+			case call == "read" && isClaimed:
+				isClaimed = false
+				return cellstore.Refuse
+			}
+			return cellstore.None
+		})
+		e := newElection(store, "a")
+		first, err := e.Campaign(ctx)
+		is.NoErr(err)
+		is.Equal(store.Len(cell.TopicOwner), int64(1))
+		is.Equal(e.LastRecord().Term, first)
+		failAppends(store, cellstore.Refuse)
+		is.True(e.Resign(ctx) != nil)
+		store.SetFault(nil)
+		second, err := e.Campaign(ctx)
+		is.NoErr(err)
+		is.True(second > first)
+	})
+}
