Answer the requests that wait at the drain timeout of the daemon

What callers saw: the end of the connection without an answer when a VM was stopped and a request ran longer than drain_timeout; docs/PROOFS.md listed that as not proved. Cause: the drain waits for the callers and then closes their connections. Change: the daemon serves its callers with gracefulhttp. A quarter of drain_timeout, at most 5 s, before its end the contexts of the requests that are left end, so that they are answered as unknown, and the slots and the ownership are still returned in time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"gypsumwinch/internal/backend"
 	"gypsumwinch/internal/dispatch"
+	"gypsumwinch/internal/gracefulhttp"
 	"gypsumwinch/internal/peer"
 	"gypsumwinch/internal/platform"
 	"gypsumwinch/internal/records"
@@ -149,7 +150,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.startLoops(ctx)
-	callers := &http.Server{Handler: d.callerHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	callers := gracefulhttp.New(&http.Server{Handler: d.callerHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})
 	peerListener = d.counters.peers.Listener(peerListener)
 	peers := &http.Server{Handler: d.peerHandler(ctx), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 2)
@@ -173,6 +174,10 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long a connection of a caller or peer may be idle.
 	idleTimeout = 2 * time.Minute
+	// maxFinalAnswerTimeout bounds the part of DrainTimeout, otherwise a quarter, in
+	// which requests that have been given up are answered and the slots and the
+	// ownership are returned.
+	maxFinalAnswerTimeout = 5 * time.Second
 )
 
 // startLoops starts the goroutines of the control loop, of the writer and the
@@ -201,15 +206,21 @@
 }
 
 // drain makes the VM report that it is not ready, lets requests in flight
-// finish, returns the slots and releases ownership of the data centre. Run
-// calls it when stop ends and waits for it; DrainTimeout bounds it.
-func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
+// finish, answers those that it gives up, returns the slots and releases ownership
+// of the data centre. Run calls it when stop ends and waits for it; DrainTimeout
+// bounds it.
+func (d *Daemon) drain(ctx context.Context, callers *gracefulhttp.Server) {
 	d.draining.Store(true)
-	d.logger.Info("draining", "timeout", time.Duration(d.settings.DrainTimeout))
-	drainCtx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.DrainTimeout))
+	callers.Drain()
+	timeout := time.Duration(d.settings.DrainTimeout)
+	d.logger.Info("draining", "timeout", timeout)
+	drainCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sleep(drainCtx, time.Duration(d.settings.BalancerDelay))
-	if err := callers.Shutdown(drainCtx); err != nil {
+	finalAnswerTimeout := min(timeout/4, maxFinalAnswerTimeout)
+	requestCtx, cancelRequests := context.WithTimeout(drainCtx, timeout-finalAnswerTimeout)
+	defer cancelRequests()
+	sleep(requestCtx, time.Duration(d.settings.BalancerDelay))
+	if err := callers.Shutdown(requestCtx, finalAnswerTimeout); err != nil {
 		d.logger.Warn("caller connections still open at the drain timeout", "error", err)
 	}
 	d.post(drainCtx, shutdownRequested{})
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumwinch/internal/backend"
 	"gypsumwinch/internal/dispatch"
+	"gypsumwinch/internal/gracefulhttp"
 	"gypsumwinch/internal/records"
 	"gypsumwinch/internal/structs"
 )
@@ -49,7 +51,8 @@
 	reply      chan<- finalAnswer
 }
 
-// callerDisconnected is the event that a caller has closed its connection.
+// callerDisconnected is the event that a caller has closed its connection or that
+// its request is given up because this VM stops.
 type callerDisconnected struct {
 	id    string
 	reply chan<- finalAnswer
@@ -76,7 +79,11 @@
 		return answer.outcome, answer.wait
 	case <-ctx.Done():
 		d.post(context.WithoutCancel(ctx), callerDisconnected{id: req.ID, reply: reply})
-		return structs.Outcome{Status: structs.StatusUnknown, Reason: "the caller closed its connection"}, 0
+		reason := "the caller closed its connection"
+		if errors.Is(context.Cause(ctx), gracefulhttp.ErrShutdown) {
+			reason = "this VM stopped before the outcome was known"
+		}
+		return structs.Outcome{Status: structs.StatusUnknown, Reason: reason}, 0
 	}
 }
 
