--- a/internal/cell/election/former.go
+++ b/internal/cell/election/former.go
@@ -18,11 +18,11 @@
 	lastOffset int64
 }
 
-// hasEndedForSure reports whether the ownership that wrote a record has certainly ended,
+// isKnownToHaveEnded reports whether the ownership that wrote a record has certainly ended,
 // so that it renews no lease any more: there is none, it has resigned, or another process
 // answers at its address (ReportEnded). An owner that is silent, or refuses connections,
 // may still renew leases. claim calls it with the newest record.
-func (e *Election) hasEndedForSure(r OwnerRecord) bool {
+func (e *Election) isKnownToHaveEnded(r OwnerRecord) bool {
 	ended := e.endedInstance.Load()
 	return r.Term == 0 || r.Resigned || e.hasEnded(r) || ended != nil && *ended == r.Instance
 }
@@ -54,7 +54,7 @@
 	return e.former.record.Addr, e.former.record.Instance
 }
 
-// FormerOwnerEnded takes note that the owner before this VM's last claim has ended by now,
+// FormerOwnerEnded records that the owner before this VM's last claim has ended by now,
 // and returns until when an owner of an earlier term may renew leases. It must follow
 // FindFormerRenewalsEnd in the same term.
 func (e *Election) FormerOwnerEnded(ctx context.Context) time.Duration {
