Resign after a takeover that failed, unless another VM owns the cell

What was seen: a VM that could not fence the progress or load the state left its claim as the newest record. It claimed the cell again at once, since its own ended term does not hold it back, while the other VMs waited for its heartbeats to stop.

Cause: a resignation was recorded only after the control loop had resigned or the process was told to stop. The end of a takeover was no reason.

Change: an ownership that no claim of another VM has ended records its resignation, whatever its end. The heartbeats tell whether there was such a claim; the resignation itself finds a claim that they had not read, and then starts no cooldown, since the others have had the time to claim. A takeover is given up after 10 s of failures in which heartbeats were accepted, since only they keep the others from claiming. While the store accepts none it goes on: giving up would add the cooldown of 5 s to an outage on a VM that is alone. It is no longer cut off in the middle of a load that takes longer than 10 s, which a VM without other candidates repeated without end.

Thought through: a heartbeat in flight has returned before the resignation is appended; if the store executes it late its condition no longer holds, and if it was executed the resignation is repeated after it (TestResignationFollowsAnUnansweredHeartbeat). A successor that claims meanwhile makes the resignation a conflict, which is not repeated. A lone VM claims again after 5 s, so that it neither spins nor gives the cell up for good.

--- a/internal/cell/election/resign.go
+++ b/internal/cell/election/resign.go
@@ -8,11 +8,23 @@
 )
 
 // Resign records that this VM gives the cell up, so that others can claim at once.
-// Package node calls it after SendHeartbeats has returned, if this VM stops or gives
-// the cell up for a reason such as a Resign action of package owner. This VM makes no
-// claim for resignCooldown, unless a later owner resigns in its favour.
+// Package node calls it after SendHeartbeats has returned, unless that found another
+// owner: if this VM stops, cannot take over, or gives the cell up for a reason such as a
+// Resign action of package owner. This VM makes no claim for resignCooldown, unless a
+// later owner resigns in its favour or another VM turns out to own the cell already: the
+// others have then had the time to claim it.
 func (e *Election) Resign(ctx context.Context) error {
-	e.cooldownUntil = e.opts.Now() + resignCooldown
+	err := e.recordResignation(ctx)
+	e.cooldownUntil = 0
+	if !errors.Is(err, ErrDeposed) {
+		e.cooldownUntil = e.opts.Now() + resignCooldown
+	}
+	return err
+}
+
+// recordResignation appends the resignation, unless another VM owns the cell. Resign
+// calls it.
+func (e *Election) recordResignation(ctx context.Context) error {
 	if !e.ownsLastRecord() {
 		return e.deposedError()
 	}
--- a/internal/cell/election/resign_test.go
+++ b/internal/cell/election/resign_test.go
@@ -116,6 +116,28 @@
 	is.NoErr(b.writeHeartbeat(ctx))
 }
 
+// TestResignationOfADeposedOwnerDelaysNoClaim guards against a cell without an owner for the cooldown of a VM that resigned after another VM had claimed the cell, if that one then ends.
+func TestResignationOfADeposedOwnerDelaysNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		store := &cellstore.Store{}
+		a := loadedElection(t, store, "a")
+		_, _, err := a.claim(ctx)
+		is.NoErr(err)
+		b := loadedElection(t, store, "b")
+		_, won, err := b.claim(ctx)
+		is.NoErr(err)
+		is.True(won)
+		is.True(errors.Is(a.Resign(ctx), ErrDeposed))
+		begin := time.Now()
+		_, err = a.Campaign(ctx)
+		is.NoErr(err)
+		is.True(time.Since(begin) < resignCooldown/2) // b sends no heartbeat
+	})
+}
+
 // TestClaimOverAnUnreadOwnerHasAnotherTerm guards against two owners of one term when a claim follows records that its VM has not read.
 func TestClaimOverAnUnreadOwnerHasAnotherTerm(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -173,6 +173,8 @@
 	// ownershipCtx ends when this VM may no longer own the cell.
 	ownershipCtx    context.Context
 	cancelOwnership context.CancelFunc
+	// takeoverTimeout bounds a takeover that fails; see defaultTakeoverTimeout.
+	takeoverTimeout time.Duration
 }
 
 // New returns a node that has not started. It writes log lines to out. The
@@ -187,6 +189,7 @@
 		peerClients:     map[string]cellpb.Cell{},
 		proxyCandidates: map[string]proxyCandidate{},
 		httpClient:      newPeerHTTPClient(),
+		takeoverTimeout: defaultTakeoverTimeout,
 	}
 	n.metrics = newMetrics(func() float64 { return float64(n.replica.size()) })
 	n.panics = panicReporter{log: n.log, metrics: n.metrics}
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// takeoverTimeout bounds the time in which a new owner loads the state.
-	takeoverTimeout = 10 * time.Second
+	// defaultTakeoverTimeout is how long the steps of a takeover may fail while this VM's
+	// heartbeats keep the other VMs from claiming the cell.
+	defaultTakeoverTimeout = 10 * time.Second
 	// takeoverRetryInterval is the pause after a step of the takeover that
 	// failed.
 	takeoverRetryInterval = 100 * time.Millisecond
@@ -58,10 +59,11 @@
 	defer n.replica.setKept(false)
 	c := newControlLoop(n, term)
 	var wg sync.WaitGroup
+	var heartbeatsEnd error
 	wg.Go(func() {
 		defer cancel()
-		err := n.election.SendHeartbeats(termCtx)
-		n.log.Info("heartbeats have ended", "term", term, "reason", err.Error())
+		heartbeatsEnd = n.election.SendHeartbeats(termCtx)
+		n.log.Info("heartbeats have ended", "term", term, "reason", heartbeatsEnd.Error())
 	})
 	err := n.takeOver(termCtx, c)
 	if err == nil {
@@ -80,17 +82,16 @@
 	cancel()
 	wg.Wait()
 	n.log.Info("ownership has ended", "term", term, "reason", err.Error())
-	n.resign(ctx, err, c.successor)
+	if !errors.Is(heartbeatsEnd, election.ErrDeposed) {
+		n.resign(ctx, c.successor)
+	}
 }
 
-// resign records the resignation if this VM ends its term by itself, so that
-// other VMs may claim at once. A VM that stops also asks its successor to
-// claim. runOwnership calls it at the end of each term, when heartbeats and
-// the control loop have ended.
-func (n *Node) resign(ctx context.Context, reason error, successor cellpb.Cell) {
-	if ctx.Err() == nil && !errors.Is(reason, errResigned) {
-		return
-	}
+// resign records the resignation, so that other VMs may claim at once. A VM
+// that stops also asks its successor to claim. runOwnership calls it at the end
+// of each term that no claim of another VM has ended, when heartbeats and the
+// control loop have ended.
+func (n *Node) resign(ctx context.Context, successor cellpb.Cell) {
 	resignCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
 	if err := n.election.Resign(resignCtx); err != nil {
@@ -106,13 +107,17 @@
 }
 
 // takeOver fences the former owner and loads the recorded state into the state
-// machine. runOwnership calls it at the start of each term, on the goroutine
-// of campaign, while another goroutine already sends heartbeats.
+// machine. It fails if a later owner has fenced this one, or if its steps have failed
+// for takeoverTimeout while heartbeats were accepted: another VM may be able to take
+// over. Without heartbeats the others claim the cell if they can, so that a takeover goes
+// on for as long as the store answers nobody. runOwnership calls it at the start of each
+// term, on the goroutine of campaign, while another goroutine already sends heartbeats.
 func (n *Node) takeOver(ctx context.Context, c *controlLoop) error {
 	var formerRenewals sync.WaitGroup
 	defer formerRenewals.Wait()
-	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	giveUpAt := bootTime() + n.takeoverTimeout
 	if n.replica.isIncomplete() {
 		n.unloadTopics()
 	}
@@ -138,7 +143,10 @@
 			if err == nil {
 				break
 			}
-			if ctx.Err() != nil || errors.Is(err, cell.ErrFenced) {
+			if !n.hasRecentHeartbeat() {
+				giveUpAt = bootTime() + n.takeoverTimeout
+			}
+			if ctx.Err() != nil || errors.Is(err, cell.ErrFenced) || bootTime() >= giveUpAt {
 				return eris.Wrap(err, s.name)
 			}
 			n.log.Warn("takeover waits", "step", s.name, "error", err.Error())
--- a/internal/cell/node/takeoverfail_test.go
+++ b/internal/cell/node/takeoverfail_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,6 +56,63 @@
 	is.True(newest.Resigned)
 }
 
+// unreadableStore serves no reads of the progress while isUnreadable, and no appends while isDown.
+type unreadableStore struct {
+	cell.Store
+	isUnreadable, isDown atomic.Bool
+}
+
+func (s *unreadableStore) Append(ctx context.Context, a cell.Append) (int64, error) {
+	if s.isDown.Load() {
+		return 0, cell.ErrNotExecuted
+	}
+	return s.Store.Append(ctx, a)
+}
+
+func (s *unreadableStore) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
+	if topic == cell.TopicProgress && s.isUnreadable.Load() {
+		return cell.Batch{}, cell.ErrNotExecuted
+	}
+	return s.Store.Newest(ctx, topic)
+}
+
+// TestTakeoverThatFailsIsGivenUpOnlyWhileHeartbeatsHoldTheCell guards against a VM that keeps the cell although it cannot load the state, and against one that gives it up, and may not claim it for a while, because the store answers nobody.
+func TestTakeoverThatFailsIsGivenUpOnlyWhileHeartbeatsHoldTheCell(t *testing.T) {
+	for _, isDown := range []bool{false, true} {
+		t.Run(fmt.Sprint("store down ", isDown), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			store := &unreadableStore{Store: &cellstore.Store{}}
+			store.isUnreadable.Store(true)
+			n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: store, Workers: &soakFleet{}, Advisor: soakAdvisor{}, Decoder: soakDecoder{}}, io.Discard)
+			n.config.Store(&cell.Config{Version: 1})
+			n.takeoverTimeout = 3 * time.Second
+			term, err := n.election.Campaign(ctx)
+			is.NoErr(err)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				n.runOwnership(ctx, term)
+			}()
+			store.isDown.Store(isDown)
+			if !isDown {
+				<-done
+				is.True(n.election.LastRecord().Resigned)
+				return
+			}
+			sleep(ctx, 2*n.takeoverTimeout)
+			store.isDown.Store(false)
+			store.isUnreadable.Store(false)
+			waitFor(t, "the end of the takeover", func() bool { return n.activeLoop() != nil })
+			is.Equal(n.activeLoop().term, term)
+			cancel()
+			<-done
+		})
+	}
+}
+
 // TestTakeoverDoesNotRunADeletedJob guards against a completed job that runs again on a VM that has read neither its end nor its deletion.
 func TestTakeoverDoesNotRunADeletedJob(t *testing.T) {
 	is := is.New(t)
