End the whole ownership after a panic in one of its parts

What was seen: after a panic in the takeover the heartbeats of the ended ownership went on beside the next campaign, on the same election, and jobs were passed to a control loop that did not run, until its queue was full and their requests waited without end. A panic in the heartbeats, in the wait for the end of the former owner or in the search for the end of its leases ended the process; every other VM may meet the same record.

Cause: only the control loop itself was contained. A panic in the takeover left runOwnership without ending the goroutines of the term, and the loop's channel done was closed by run only.

Change: heartbeats, takeover and control loop are contained alike; a panic ends the ownership, after which it resigns like any other that no claim of another VM has ended. runOwnership closes done.

No panic of these parts is known.

--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -89,7 +89,7 @@
 	adviceResults chan adviceResult
 	hellos        chan helloMessage
 	flushResults  chan flushResult
-	// done is closed when run returns.
+	// done is closed when the ownership ends, also if run was never called.
 	done chan struct{}
 	// takeoverActions are the actions from loading the recorded state. run
 	// performs them first.
@@ -174,7 +174,6 @@
 func (c *controlLoop) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer close(c.done)
 	c.advice = newAdviceDispatcher(c.node.advisor.Ask, func(a adviceResult) {
 		select {
 		case c.adviceResults <- a:
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -62,21 +62,21 @@
 	var heartbeatsEnd error
 	wg.Go(func() {
 		defer cancel()
-		heartbeatsEnd = n.election.SendHeartbeats(termCtx)
+		heartbeatsEnd = n.containInTerm("heartbeats", func() error { return n.election.SendHeartbeats(termCtx) })
 		n.log.Info("heartbeats have ended", "term", term, "reason", heartbeatsEnd.Error())
 	})
-	err := n.takeOver(termCtx, c)
+	err := n.containInTerm("takeover", func() error { return n.takeOver(termCtx, c) })
 	if err == nil {
 		n.log.Info("owning the cell", "term", term, "after_ms", (bootTime() - startedAt).Milliseconds())
 		n.metrics.ownerTerm.Set(float64(term))
 		wg.Go(func() { n.runLoop(termCtx, "workers", func(ctx context.Context) { n.pollWorkers(ctx, c) }) })
-		wg.Go(func() { n.awaitFormerOwnersEnd(termCtx, c) })
-		if p := n.panics.contain("control loop", func() { err = c.run(termCtx) }); p != nil {
-			// The state in memory may be inconsistent; that in the store is not.
-			err = eris.Wrap(errResigned, p.Error())
-		}
+		wg.Go(func() {
+			n.runLoop(termCtx, "former owner", func(ctx context.Context) { n.awaitFormerOwnersEnd(ctx, c) })
+		})
+		err = n.containInTerm("control loop", func() error { return c.run(termCtx) })
 	}
 	n.setLoop(nil)
+	close(c.done)
 	n.holdsTerm.Store(false)
 	n.metrics.ownerTerm.Set(0)
 	cancel()
@@ -87,6 +87,16 @@
 	}
 }
 
+// containInTerm runs a part of an ownership and returns a panic in it as its error, so
+// that it ends the ownership: the state in memory may be inconsistent; that in the store
+// is not. runOwnership calls it for the parts that are not started again within the term.
+func (n *Node) containInTerm(part string, f func() error) (err error) {
+	if p := n.panics.contain(part, func() { err = f() }); p != nil {
+		return p
+	}
+	return err
+}
+
 // resign records the resignation, so that other VMs may claim at once. A VM
 // that stops also asks its successor to claim. runOwnership calls it at the end
 // of each term that no claim of another VM has ended, when heartbeats and the
@@ -129,7 +139,12 @@
 		{"fence the progress", func(ctx context.Context) error {
 			fencedAt, err := c.fenceProgress(ctx)
 			if err == nil {
-				formerRenewals.Go(func() { renewalsEnd = n.election.FindFormerRenewalsEnd(ctx, fencedAt, owner.AuthorityTimeout) })
+				formerRenewals.Go(func() {
+					renewalsEnd = fencedAt + owner.AuthorityTimeout // also after a panic
+					_ = n.panics.contain("takeover", func() {
+						renewalsEnd = n.election.FindFormerRenewalsEnd(ctx, fencedAt, owner.AuthorityTimeout)
+					})
+				})
 			}
 			return err
 		}},
--- a/internal/cell/node/takeoverfail_test.go
+++ b/internal/cell/node/takeoverfail_test.go
@@ -30,6 +30,21 @@
 	is.True(n.election.LastRecord().Resigned)
 }
 
+// TestPanicInTheHeartbeatsEndsTheOwnership guards against a process that ends by a panic in the heartbeats, and against an ownership that goes on without them.
+func TestPanicInTheHeartbeatsEndsTheOwnership(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: &cellstore.Store{}}, io.Discard)
+	term, err := n.election.Campaign(ctx)
+	is.NoErr(err)
+	broken := newControlLoop(n, term)
+	close(broken.events)
+	n.setLoop(broken) // a heartbeat is reported to it; the takeover waits for a configuration
+	n.runOwnership(ctx, term)
+	is.True(n.activeLoop() == nil)
+	is.True(n.election.LastRecord().Resigned)
+}
+
 // fencedStore refuses to fence the progress for an owner.
 type fencedStore struct{ cell.Store }
 
