--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -267,16 +267,25 @@
 	return true, nil
 }
 
+// maxPendingAge is the age up to which this VM reports a count of pending jobs that it
+// has received; callers expect one that is at most 2 s old.
+const maxPendingAge = 2 * time.Second
+
+// errPendingUnknown is the cause if this VM cannot report a count of pending jobs.
+var errPendingUnknown = eris.New("no recent count of the pending jobs is known")
+
 // Pending returns the number of a queue's jobs of which no task has started.
-// On a VM that does not know all jobs, the count comes from the owner. It runs
+// On a VM that does not know all jobs, the count comes from the owner or a follower,
+// and the error is a NotExecutedError if none has answered lately: a VM that has just
+// started, or that cannot reach them, knows too few jobs. It runs
 // on the goroutine of a caller's request.
-func (n *Node) Pending(queue string) int {
+func (n *Node) Pending(queue string) (int, error) {
 	if n.knowsAllJobs() {
-		return n.replica.pendingCount(queue)
+		return n.replica.pendingCount(queue), nil
 	}
 	counts := n.pendingCounts.Load()
-	if counts == nil {
-		return n.replica.pendingCount(queue)
+	if counts == nil || bootTime()-time.Duration(n.pendingCountsAt.Load()) > maxPendingAge {
+		return 0, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: errPendingUnknown}
 	}
-	return int((*counts)[queue])
+	return int((*counts)[queue]), nil
 }
