--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -255,11 +255,9 @@
 // every VM of the data centre; only the owner, which has a scheduler, passes
 // the effect on to it.
 func (c *control) applyJobRecord(e logEntry) {
+	c.recordSnapshotAge(e)
 	effect := c.jobs.Apply(e.offset, e.storedAt, e.record)
 	c.answerRecordWaiters(e.record, effect)
-	if e.record.JobSnapshot == nil {
-		c.recordsSinceSnapshot++
-	}
 	if c.scheduler == nil {
 		return
 	}
--- a/internal/daemon/scheduling.go
+++ b/internal/daemon/scheduling.go
@@ -133,6 +133,8 @@
 	checkpoints   map[structs.TaskID][]byte
 	readyStarts   map[string][]structs.Attempt
 
+	// recordsSinceSnapshot and lastSnapshotAt describe what a new VM has to read; see
+	// recordSnapshotAge. They are kept on every VM, since any may become the owner.
 	recordsSinceSnapshot int
 	lastSnapshotAt       time.Duration
 }
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -508,12 +508,30 @@
 	maxRecordsSinceSnapshot = 20_000
 )
 
-// writeJobsSnapshot appends a snapshot of the job state when one is due.
+// recordSnapshotAge keeps how many records a new VM has to read and how old the first
+// of them is: the last snapshot or, before there is one, the first record. applyJobRecord
+// calls it for each record before it is applied.
+func (c *control) recordSnapshotAge(e logEntry) {
+	snapshot := e.record.JobSnapshot
+	isComplete := snapshot != nil && snapshot.Part == snapshot.Parts-1
+	if snapshot == nil {
+		c.recordsSinceSnapshot++
+	}
+	if isComplete {
+		c.recordsSinceSnapshot = 0
+	}
+	if isComplete || c.jobs.Next() == 0 {
+		c.lastSnapshotAt = c.now() - max(time.Since(e.storedAt), 0)
+	}
+}
+
+// writeJobsSnapshot appends a snapshot of the job state when one is due: also when
+// nothing was written since the last one, which the log drops like any record.
 // tickJobs calls it at each slow tick of an owner.
 func (c *control) writeJobsSnapshot() {
 	retention := c.d.settings.retention()
 	due := c.recordsSinceSnapshot >= maxRecordsSinceSnapshot ||
-		c.now()-c.lastSnapshotAt > retention/3 && c.recordsSinceSnapshot > 0
+		c.now()-c.lastSnapshotAt > retention/3 && c.jobs.Next() > 0
 	if !due || !c.ownershipMachine.Authority(c.now()).MayStartTasks || !c.logReachable(records.StreamOwners) {
 		return
 	}
