Run the real daemon under drawn faults, with stand-ins of the platform

gypsumwinch-soak starts gypsumwinchd -platform as separate processes on loopback addresses. standin/storeserver serves the stand-in of the store over the platform's protocol, with faults by VM; standin/fleet serves workers and the advice service and sees each broken rule that workers can see. Links to the store, to the workers and to the callers pass a proxy that delays, resets, or silently drops either direction. Faults are drawn from a seed, overlap and come in series, and are written down as YAML.

--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,354 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gypsumwinch/standin/fleet"
+	"gypsumwinch/standin/storeserver"
+)
+
+const (
+	// maxAttempts is the number of failed runs after which a job fails.
+	maxAttempts = 4
+	// requestTimeout is how long a caller waits for a response.
+	requestTimeout = 3 * time.Second
+	// submissionAttempts is how often a caller submits a job whose submission was refused
+	// or had no answer.
+	submissionAttempts = 8
+	// pollInterval is the time between two questions for the state of a job.
+	pollInterval = 700 * time.Millisecond
+	// visibleAfter is how long an accepted job may be unknown.
+	visibleAfter = 3 * time.Second
+	// cancelShare is the share of the jobs that are cancelled.
+	cancelShare = 0.06
+	// recoveryTimeout is how long after the last fault each accepted job must have ended. It
+	// is far above what the rules allow, so that a slow machine does not decide the verdict.
+	recoveryTimeout = 2 * time.Minute
+)
+
+// callers submits jobs and follows them.
+type callers struct {
+	cluster *cluster
+	client  *http.Client
+	ready   []atomic.Bool
+	// faultsEnd is closed when the faults are over.
+	faultsEnd chan struct{}
+	// counts
+	submitted, accepted, rejected, unknown, completed, failed, cancelled, unanswered atomic.Int64
+	wg                                                                               sync.WaitGroup
+}
+
+// newCallers returns callers that keep their connections open until the peer closes them.
+func newCallers(c *cluster) *callers {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	return &callers{
+		cluster: c, client: &http.Client{Transport: transport, Timeout: requestTimeout + 500*time.Millisecond},
+		ready: make([]atomic.Bool, len(c.vms)), faultsEnd: make(chan struct{}),
+	}
+}
+
+// probe checks the readiness of a VM once a second, as the load balancer does, until stop
+// is closed. Two misses take a VM out of rotation.
+func (cs *callers) probe(i int, stop <-chan struct{}) {
+	client := &http.Client{Timeout: time.Second}
+	url := "http://" + net.JoinHostPort(cs.cluster.vms[i].ip, strconv.Itoa(readinessPort)) + storeserver.ReadinessPath
+	for misses := 0; ; {
+		resp, err := client.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if err == nil && resp.StatusCode == http.StatusOK {
+			misses = 0
+		} else {
+			misses++
+		}
+		cs.ready[i].Store(misses < 2)
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// pickVM returns a VM that is in rotation, or any if none is.
+func (cs *callers) pickVM() int {
+	var ready []int
+	for i := range cs.ready {
+		if cs.ready[i].Load() {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		return rand.IntN(len(cs.ready))
+	}
+	return ready[rand.IntN(len(ready))]
+}
+
+// response is the answer to a caller's request.
+type response struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration
+}
+
+// call makes a request to a VM. Its error means that there is no whole answer.
+func (cs *callers) call(vmIndex int, method, path string, body []byte) (response, error) {
+	req, err := http.NewRequest(method, "http://"+cs.cluster.addr(7, vmIndex, callerPort)+path, bytes.NewReader(body))
+	if err != nil {
+		return response{}, err
+	}
+	req.Host = host
+	req.Header.Set(storeserver.DeadlineHeader, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	resp, err := cs.client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		var data []byte
+		if data, err = io.ReadAll(resp.Body); err == nil {
+			seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+			return response{resp.StatusCode, data, time.Duration(seconds) * time.Second}, nil
+		}
+	}
+	cs.unanswered.Add(1)
+	return response{}, err
+}
+
+// job is one job of the callers.
+type job struct {
+	id         string
+	path       string
+	acceptedAt time.Time
+	isCancel   bool
+}
+
+// drawJob draws the steps of a job and registers it with the fleet.
+func (cs *callers) drawJob() (*job, []byte) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	queue := queues()[rand.IntN(2)]
+	steps := 1 + rand.IntN(2)
+	def := fleet.Job{ID: id, Spec: "spec-" + id, MaxAttempts: maxAttempts}
+	var phases []map[string]any
+	for i := range steps {
+		s := fleet.Step{
+			Count: 1 + rand.IntN(6), MilliCPU: 500 + rand.Int64N(5000), MemoryMB: 500 + rand.Int64N(4000),
+			Duration: 100*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(700*time.Millisecond)),
+			Gang:     rand.Float64() < 0.25, FailureRate: 0.03, NeedsTickets: queue.Advice != nil,
+		}
+		if i > 0 {
+			s.DependsOn = []int{i - 1}
+		}
+		def.Steps = append(def.Steps, s)
+		phases = append(phases, map[string]any{
+			"Count": s.Count, "Cpu": s.MilliCPU, "MemMb": s.MemoryMB, "EstimatedMs": 900, "Gang": s.Gang, "DependsOn": s.DependsOn,
+		})
+	}
+	cs.cluster.fleet.AddJob(def)
+	body, err := json.Marshal(map[string]any{"Spec": def.Spec, "Phases": phases})
+	if err != nil {
+		cs.cluster.report("FAULT", "encode job: %v", err)
+	}
+	return &job{id: id, path: queue.PathPrefix + id}, body
+}
+
+// run submits jobs at a rate for a time, and returns when each accepted job has ended.
+func (cs *callers) run(traffic time.Duration, perSecond float64) {
+	for end := time.Now().Add(traffic); time.Now().Before(end); {
+		cs.wg.Go(cs.runJob)
+		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	cs.wg.Wait()
+}
+
+// runJob submits one job, follows it to its end and checks the end.
+func (cs *callers) runJob() {
+	j, body := cs.drawJob()
+	cs.submitted.Add(1)
+	if !cs.submit(j, body) {
+		return
+	}
+	if rand.Float64() < cancelShare {
+		time.Sleep(time.Duration(rand.Int64N(int64(2 * time.Second))))
+		j.isCancel = true
+		cs.cancel(j)
+	}
+	cs.follow(j)
+}
+
+// submit submits a job until it is accepted or the caller gives up, and reports whether it
+// was accepted.
+func (cs *callers) submit(j *job, body []byte) (accepted bool) {
+	allRefused := true
+	for range submissionAttempts {
+		resp, err := cs.call(cs.pickVM(), http.MethodPost, j.path, body)
+		switch {
+		case err != nil || resp.status == http.StatusGatewayTimeout || resp.status == http.StatusBadGateway:
+			allRefused = false
+		case resp.status == http.StatusOK:
+			j.acceptedAt = time.Now()
+			cs.accepted.Add(1)
+			return true
+		case resp.status == http.StatusServiceUnavailable || resp.status == http.StatusTooManyRequests:
+			time.Sleep(min(resp.retryAfter, time.Second))
+		default:
+			cs.cluster.report("FAULT", "submission of %s has status %d", j.id, resp.status)
+		}
+		time.Sleep(time.Duration(rand.Int64N(int64(300 * time.Millisecond))))
+	}
+	if allRefused {
+		cs.rejected.Add(1)
+		cs.cluster.fleet.RejectJob(j.id)
+		return false
+	}
+	cs.unknown.Add(1)
+	return false
+}
+
+// cancel cancels a job until that is acknowledged.
+func (cs *callers) cancel(j *job) {
+	for {
+		resp, err := cs.call(cs.pickVM(), http.MethodDelete, j.path, nil)
+		if err == nil && (resp.status == http.StatusOK || resp.status == http.StatusGone) {
+			return
+		}
+		if cs.isOverdue() {
+			cs.cluster.report("LOST", "cancellation of %s is not acknowledged", j.id)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// isOverdue reports whether recoveryTimeout has passed since the faults ended.
+func (cs *callers) isOverdue() bool {
+	select {
+	case <-cs.faultsEnd:
+		return true
+	default:
+		return false
+	}
+}
+
+// follow asks for the state of an accepted job until it has ended, and once more later.
+func (cs *callers) follow(j *job) {
+	final := ""
+	for asked := 0; asked < 3; {
+		// A VM that does not reach the owner may answer from an older read, so that only
+		// another final state is a broken rule.
+		time.Sleep(pollInterval)
+		state, known := cs.state(j)
+		if cs.isOverdue() && final == "" {
+			cs.cluster.report("LOST", "job %s has not ended %v after the faults: state %q", j.id, recoveryTimeout, state)
+			return
+		}
+		if !known {
+			continue
+		}
+		switch {
+		case isFinal(state) && final != "" && state != final:
+			cs.cluster.report("MIXED", "job %s was shown as %s and then as %q", j.id, final, state)
+			return
+		case isFinal(state):
+			final = state
+			asked++
+		}
+	}
+	cs.judge(j, final)
+}
+
+func isFinal(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
+}
+
+// state asks any VM for the state of a job. known is false if there is no answer. The state
+// of a job that the VM denies is "".
+func (cs *callers) state(j *job) (state string, known bool) {
+	resp, err := cs.call(cs.pickVM(), http.MethodGet, j.path, nil)
+	switch {
+	case err != nil || resp.status == http.StatusServiceUnavailable || resp.status == http.StatusGatewayTimeout:
+		return "", false
+	case resp.status == http.StatusGone && !j.isCancel && time.Since(j.acceptedAt) > visibleAfter:
+		cs.cluster.report("LOST", "accepted job %s is denied after %v", j.id, time.Since(j.acceptedAt).Round(time.Millisecond))
+		return "", false
+	case resp.status == http.StatusGone:
+		return "", false
+	case resp.status != http.StatusOK:
+		cs.cluster.report("FAULT", "state of %s has status %d", j.id, resp.status)
+		return "", false
+	}
+	var answer struct{ State string }
+	if err := json.Unmarshal(resp.body, &answer); err != nil {
+		cs.cluster.report("MIXED", "state of %s cannot be read: %q", j.id, resp.body)
+		return "", false
+	}
+	return answer.State, true
+}
+
+// judge checks the final state of a job against what the workers have seen.
+func (cs *callers) judge(j *job, final string) {
+	switch final {
+	case "completed":
+		cs.completed.Add(1)
+		if done, missing := cs.cluster.fleet.IsDone(j.id); !done {
+			cs.cluster.report("MIXED", "job %s is shown as completed, and %s is not done", j.id, missing)
+		}
+	case "failed":
+		cs.failed.Add(1)
+		if n := cs.cluster.fleet.FailedAttempts(j.id); n < maxAttempts {
+			cs.cluster.report("LOST", "job %s is shown as failed after %d failed runs of a task, of %d", j.id, n, maxAttempts)
+		}
+	case "cancelled":
+		cs.cancelled.Add(1)
+		if !j.isCancel {
+			cs.cluster.report("LOST", "job %s is shown as cancelled, and nobody cancelled it", j.id)
+		}
+		time.Sleep(visibleAfter)
+		if running := cs.cluster.fleet.RunningTasks(j.id); len(running) > 0 && cs.isOverdue() {
+			cs.cluster.report("UNASKED", "tasks %v of cancelled job %s run", running, j.id)
+		}
+	}
+}
+
+// watchVersions checks that no process of a VM goes back to an older configuration: the
+// route of a version exists only while that version is in force.
+func (cs *callers) watchVersions(i int, stop <-chan struct{}) {
+	v := cs.cluster.vms[i]
+	var process *process
+	var newestSeen int64
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pollInterval):
+		}
+		v.mu.Lock()
+		current := v.process
+		v.mu.Unlock()
+		if current != process {
+			process, newestSeen = current, 0
+		}
+		for version := cs.cluster.newestVersion(); version > 0 && version >= newestSeen-1; version-- {
+			resp, err := cs.call(i, http.MethodGet, versionPath(version), nil)
+			if err != nil || resp.status != http.StatusOK {
+				continue
+			}
+			v.mu.Lock()
+			isSame := v.process == process
+			v.mu.Unlock()
+			if isSame && version < newestSeen {
+				cs.cluster.report("CONFIG", "%s has version %d in force after version %d", v.name, version, newestSeen)
+			}
+			newestSeen = max(newestSeen, version)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"gypsumwinch/standin/fleet"
+	"gypsumwinch/standin/storeserver"
+)
+
+const (
+	// slowStoreDelay is what a call of a slow store takes longer.
+	slowStoreDelay = 250 * time.Millisecond
+	// storeLossShare is the share of the appends that lose their answers.
+	storeLossShare = 0.3
+	// orderFaultShare is the share of the orders that a worker does not answer.
+	orderFaultShare = 0.1
+	// workerShare is the share of the workers that a fault of several workers affects.
+	workerShare = 0.25
+	// seriesLength is the number of configurations of a series.
+	seriesLength = 10
+)
+
+// storeFaults counts the faults of the store that are in force: several may overlap.
+// The mutex of the cluster guards it.
+type storeFaults struct {
+	refuses, silent, slow, loses, late int
+	turnedAway                         map[string]int
+}
+
+// storeFault returns the fault of a call of the store.
+func (c *cluster) storeFault(vm string, call storeserver.Call, _ string) storeserver.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := &c.faults
+	fault := storeserver.Fault{Silent: f.silent > 0, Refuse: f.refuses > 0 || f.turnedAway[vm] > 0}
+	if f.slow > 0 {
+		fault.Delay = slowStoreDelay
+	}
+	if call != storeserver.CallAppend {
+		return fault
+	}
+	switch {
+	case f.late > 0 && rand.Float64() < storeLossShare:
+		fault.ExecuteAfter = time.Second + time.Duration(rand.Int64N(int64(3*time.Second)))
+	case f.loses > 0 && rand.Float64() < storeLossShare:
+		fault.LoseAnswer = true
+	}
+	return fault
+}
+
+// inject carries out one fault and returns when it has ended.
+func (c *cluster) inject(f Fault) {
+	v := c.vms[f.Target%len(c.vms)]
+	switch f.Kind {
+	case KillVM:
+		v.kill(f.For)
+	case KillOwner:
+		c.ownerVM(v).kill(f.For)
+	case KillAll:
+		c.forEachVM(func(v *vm) { v.kill(f.For) })
+	case PauseVM:
+		v.pause(f.For)
+	case PauseOwner:
+		c.ownerVM(v).pause(f.For)
+	case StopVM:
+		v.stop()
+	case StopOwner:
+		c.ownerVM(v).stop()
+	case StopAll:
+		c.stopAll(f.For / time.Duration(len(c.vms)))
+	case ReloadVM:
+		v.signal(syscall.SIGHUP, false)
+	case CutStore:
+		c.breakLink(f.For, v, v.storeProxy, LinkState{DropRequests: true, DropAnswers: true})
+	case CutStoreAnswers:
+		c.breakLink(f.For, v, v.storeProxy, LinkState{DropAnswers: true})
+	case ResetStore:
+		v.beginDisruption()()
+		v.storeProxy.Reset()
+	case ResetCallers:
+		v.beginDisruption()()
+		v.callerProxy.Reset()
+	case Publish:
+		c.publishOrReport()
+	case PublishSeries:
+		for range seriesLength {
+			c.publishOrReport()
+			time.Sleep(f.For / seriesLength)
+		}
+	default:
+		c.injectOutside(f)
+	}
+}
+
+// injectOutside carries out a fault of the store or of workers.
+func (c *cluster) injectOutside(f Fault) {
+	v := c.vms[f.Target%len(c.vms)]
+	w := c.workers[f.Target%len(c.workers)]
+	switch f.Kind {
+	case StoreRefuses:
+		c.disturbStore(f.For, &c.faults.refuses)
+	case StoreSilent:
+		c.disturbStore(f.For, &c.faults.silent)
+	case StoreSlow:
+		c.disturbStore(f.For, &c.faults.slow)
+	case StoreLosesAnswers:
+		c.disturbStore(f.For, &c.faults.loses)
+	case StoreLate:
+		c.disturbStore(f.For, &c.faults.late)
+	case StoreForgets:
+		c.store.Forget()
+	case StoreTurnsAway:
+		c.turnAway(v, f.For)
+	case StoreTurnsOwnerAway:
+		c.turnAway(c.ownerVM(v), f.For)
+	case RestartWorker:
+		c.restartWorker(w)
+	case RestartWorkers:
+		c.forEachOfAQuarter(f.Target, c.restartWorker)
+	case CutWorkers:
+		c.cutWorkers(f, LinkState{DropRequests: true, DropAnswers: true})
+	case CutWorkerAnswers:
+		c.cutWorkers(f, LinkState{DropAnswers: true})
+	case LateOrders:
+		late := fleet.OrderFault{LateShare: orderFaultShare, LateBy: 2*time.Second + time.Duration(rand.Int64N(int64(3*time.Second)))}
+		c.disturbOrders(f.For, late)
+	case LostAnswers:
+		c.disturbOrders(f.For, fleet.OrderFault{LoseShare: orderFaultShare})
+	case FailingWorkers:
+		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.SetFailsAll(true) })
+		time.Sleep(f.For)
+		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.SetFailsAll(false) })
+	}
+}
+
+func (c *cluster) publishOrReport() {
+	if err := c.publish(); err != nil {
+		c.report("FAULT", "%v", err)
+	}
+}
+
+// forEachVM calls f for all VMs at once and waits until all calls have returned.
+func (c *cluster) forEachVM(f func(*vm)) {
+	var wg sync.WaitGroup
+	for _, v := range c.vms {
+		wg.Go(func() { f(v) })
+	}
+	wg.Wait()
+}
+
+// stopAll stops the VMs one after the other, as a rolling restart does.
+func (c *cluster) stopAll(gap time.Duration) {
+	for _, v := range c.vms {
+		v.stop()
+		time.Sleep(gap)
+	}
+}
+
+// breakLink changes the link of a VM for a time.
+func (c *cluster) breakLink(d time.Duration, v *vm, p *Proxy, state LinkState) {
+	end := v.beginDisruption()
+	defer end()
+	p.SetState(state)
+	time.Sleep(d)
+	p.SetState(LinkState{})
+	p.Reset()
+}
+
+// disturbStore has a fault of the store in force for a time; all VMs count as disrupted.
+func (c *cluster) disturbStore(d time.Duration, count *int) {
+	c.forEachVM(func(v *vm) {
+		end := v.beginDisruption()
+		time.AfterFunc(d, end)
+	})
+	c.addFault(count, 1)
+	time.Sleep(d)
+	c.addFault(count, -1)
+}
+
+func (c *cluster) addFault(count *int, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*count += n
+}
+
+// turnAway makes the store refuse the calls of one VM for a time.
+func (c *cluster) turnAway(v *vm, d time.Duration) {
+	end := v.beginDisruption()
+	defer end()
+	change := func(n int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.faults.turnedAway[v.name] += n
+	}
+	change(1)
+	time.Sleep(d)
+	change(-1)
+}
+
+// forEachOfAQuarter calls f for a quarter of the workers, from the given one on.
+func (c *cluster) forEachOfAQuarter(first int, f func(*workerSlot)) {
+	for i := range max(1, int(workerShare*float64(len(c.workers)))) {
+		f(c.workers[(first+i)%len(c.workers)])
+	}
+}
+
+// restartWorker restarts a worker, which resets its connections.
+func (c *cluster) restartWorker(w *workerSlot) {
+	w.Restart()
+	w.proxy.Reset()
+	c.writeWorker(w)
+}
+
+// cutWorkers changes the links of a quarter of the workers for a time.
+func (c *cluster) cutWorkers(f Fault, state LinkState) {
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.proxy.SetState(state) })
+	time.Sleep(f.For)
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) {
+		w.proxy.SetState(LinkState{})
+		w.proxy.Reset()
+	})
+}
+
+// disturbOrders has a fault of the orders to all workers in force for a time.
+func (c *cluster) disturbOrders(d time.Duration, fault fleet.OrderFault) {
+	for _, w := range c.workers {
+		w.SetOrderFault(fault)
+	}
+	time.Sleep(d)
+	for _, w := range c.workers {
+		w.SetOrderFault(fleet.OrderFault{})
+	}
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,176 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/yaml.v3"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults. The comment says what Target is; it counts modulo the number of VMs or
+// workers.
+const (
+	// KillVM kills a VM's process, which starts again after For. Target: VM.
+	KillVM Kind = "kill-vm"
+	// KillOwner is KillVM for the VM that owns the cell.
+	KillOwner Kind = "kill-owner"
+	// KillAll kills all VMs at once.
+	KillAll Kind = "kill-all"
+	// PauseVM stops a VM's process with SIGSTOP for For. Target: VM.
+	PauseVM Kind = "pause-vm"
+	// PauseOwner is PauseVM for the VM that owns the cell.
+	PauseOwner Kind = "pause-owner"
+	// StopVM sends SIGTERM to a VM, which starts again after its end. Target: VM.
+	StopVM Kind = "stop-vm"
+	// StopOwner is StopVM for the VM that owns the cell.
+	StopOwner Kind = "stop-owner"
+	// StopAll stops the VMs one after the other, For apart.
+	StopAll Kind = "stop-all"
+	// ReloadVM sends SIGHUP to a VM. Target: VM.
+	ReloadVM Kind = "reload-vm"
+	// StoreRefuses makes the store refuse all calls for For.
+	StoreRefuses Kind = "store-refuses"
+	// StoreSilent leaves all calls of the store without an answer for For.
+	StoreSilent Kind = "store-silent"
+	// StoreSlow delays all calls of the store for For.
+	StoreSlow Kind = "store-slow"
+	// StoreLosesAnswers executes three in ten appends without an answer for For.
+	StoreLosesAnswers Kind = "store-loses-answers"
+	// StoreLate executes three in ten appends 1 to 4 s later, without an answer, for For.
+	StoreLate Kind = "store-late"
+	// StoreForgets drops the history of all topics.
+	StoreForgets Kind = "store-forgets"
+	// StoreTurnsAway refuses the calls of one VM for For. Target: VM.
+	StoreTurnsAway Kind = "store-turns-away"
+	// StoreTurnsOwnerAway is StoreTurnsAway for the VM that owns the cell.
+	StoreTurnsOwnerAway Kind = "store-turns-owner-away"
+	// CutStore silently cuts a VM off from the store for For. Target: VM.
+	CutStore Kind = "cut-store"
+	// CutStoreAnswers cuts only the answers of the store to a VM off for For. Target: VM.
+	CutStoreAnswers Kind = "cut-store-answers"
+	// ResetStore resets the connections of a VM to the store. Target: VM.
+	ResetStore Kind = "reset-store"
+	// ResetCallers resets the callers' connections to a VM. Target: VM.
+	ResetCallers Kind = "reset-callers"
+	// RestartWorker restarts a worker under its ID. Target: worker.
+	RestartWorker Kind = "restart-worker"
+	// RestartWorkers restarts a quarter of the workers at once.
+	RestartWorkers Kind = "restart-workers"
+	// CutWorkers silently cuts a quarter of the workers off for For. Target: first worker.
+	CutWorkers Kind = "cut-workers"
+	// CutWorkerAnswers cuts only the answers of a quarter of the workers off for For.
+	CutWorkerAnswers Kind = "cut-worker-answers"
+	// LateOrders makes all workers carry out one order in ten 2 to 5 s late, without an
+	// answer, for For.
+	LateOrders Kind = "late-orders"
+	// LostAnswers makes all workers lose one answer in ten for For.
+	LostAnswers Kind = "lost-answers"
+	// FailingWorkers makes a quarter of the workers fail all that they start for For.
+	FailingWorkers Kind = "failing-workers"
+	// Publish publishes a configuration.
+	Publish Kind = "publish"
+	// PublishSeries publishes ten configurations in quick succession.
+	PublishSeries Kind = "publish-series"
+)
+
+// kinds lists the kinds that DrawSchedule draws, each as likely as it is listed.
+var kinds = []Kind{
+	KillVM, KillOwner, KillOwner, KillAll, PauseVM, PauseOwner, PauseOwner, StopVM, StopOwner, StopAll, ReloadVM,
+	StoreRefuses, StoreSilent, StoreSlow, StoreSlow, StoreLosesAnswers, StoreLate, StoreForgets, StoreTurnsAway, StoreTurnsOwnerAway,
+	CutStore, CutStoreAnswers, ResetStore, ResetCallers,
+	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, LateOrders, LostAnswers, FailingWorkers,
+	Publish, PublishSeries,
+}
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	// At is the time from the start of the traffic.
+	At     time.Duration `yaml:"at"`
+	Kind   Kind          `yaml:"kind"`
+	For    time.Duration `yaml:"for,omitempty"`
+	Target int           `yaml:"target"`
+}
+
+// Schedule is what happens in a run. The same schedule does not repeat a run exactly,
+// since real processes run beside each other.
+type Schedule struct {
+	Seed    uint64        `yaml:"seed"`
+	VMs     int           `yaml:"vms"`
+	Workers int           `yaml:"workers"`
+	Traffic time.Duration `yaml:"traffic"`
+	// JobsPerSecond is the rate at which callers submit jobs.
+	JobsPerSecond float64 `yaml:"jobs_per_second"`
+	Faults        []Fault `yaml:"faults"`
+}
+
+// Size is the size of a run.
+type Size struct {
+	VMs           int
+	Workers       int
+	Traffic       time.Duration
+	JobsPerSecond float64
+}
+
+const (
+	// maxFaultTime bounds the length of one fault. Leases last 6 s and an owner's authority
+	// 5 s, so that it is both shorter and longer than these.
+	maxFaultTime = 8 * time.Second
+	// meanFaultGap is the mean time between the beginnings of two faults. Faults overlap,
+	// since most last longer.
+	meanFaultGap = 1500 * time.Millisecond
+	// seriesChance is the chance that a fault of the same kind follows at once.
+	seriesChance = 0.25
+	// quietStart is the time before the first fault.
+	quietStart = time.Second
+)
+
+// DrawSchedule draws a schedule from a seed.
+func DrawSchedule(seed uint64, size Size) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	s := Schedule{Seed: seed, VMs: size.VMs, Workers: size.Workers, Traffic: size.Traffic, JobsPerSecond: size.JobsPerSecond}
+	kind := kinds[rng.IntN(len(kinds))]
+	for at := quietStart; at < size.Traffic; at += time.Duration(rng.ExpFloat64() * float64(meanFaultGap)) {
+		duration := time.Duration(rng.Int64N(int64(maxFaultTime))) + 100*time.Millisecond
+		s.Faults = append(s.Faults, Fault{At: at.Round(time.Millisecond), Kind: kind, For: duration.Round(time.Millisecond), Target: rng.IntN(1000)})
+		if rng.Float64() >= seriesChance {
+			kind = kinds[rng.IntN(len(kinds))]
+		}
+	}
+	return s
+}
+
+// ReadSchedule reads a schedule that WriteFile has written.
+func ReadSchedule(path string) (Schedule, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Schedule{}, eris.Wrap(err, "read schedule")
+	}
+	var s Schedule
+	if err := yaml.Unmarshal(data, &s); err != nil {
+		return Schedule{}, eris.Wrapf(err, "decode schedule %s", path)
+	}
+	for i, f := range s.Faults {
+		if !slices.Contains(kinds, f.Kind) {
+			return Schedule{}, eris.Errorf("schedule %s: fault %d has unknown kind %q", path, i, f.Kind)
+		}
+	}
+	if s.VMs <= 0 || s.Workers <= 0 || s.Traffic <= 0 || s.JobsPerSecond <= 0 {
+		return Schedule{}, eris.Errorf("schedule %s: vms, workers, traffic and jobs_per_second must be positive", path)
+	}
+	return s, nil
+}
+
+// WriteFile writes the schedule as YAML, so that a run can be played again.
+func (s Schedule) WriteFile(path string) error {
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return eris.Wrap(err, "encode schedule")
+	}
+	return eris.Wrap(os.WriteFile(path, data, 0o644), "write schedule")
+}
--- /dev/null
+++ b/internal/soak/schedule_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestScheduleIsPlayedAgain guards against a schedule that is not what was played.
+func TestScheduleIsPlayedAgain(t *testing.T) {
+	is := is.New(t)
+	size := Size{VMs: 3, Workers: 8, Traffic: 20 * time.Second, JobsPerSecond: 4}
+	s := DrawSchedule(7, size)
+	is.Equal(s, DrawSchedule(7, size))
+	path := filepath.Join(t.TempDir(), "schedule.yaml")
+	is.NoErr(s.WriteFile(path))
+	read, err := ReadSchedule(path)
+	is.NoErr(err)
+	is.Equal(read, s)
+}
+
+// TestEveryKindIsDrawn guards against a kind of fault that no seed draws.
+func TestEveryKindIsDrawn(t *testing.T) {
+	is := is.New(t)
+	drawn := map[Kind]bool{}
+	for seed := range uint64(50) {
+		for _, f := range DrawSchedule(seed, Size{VMs: 3, Workers: 8, Traffic: 40 * time.Second, JobsPerSecond: 4}).Faults {
+			drawn[f.Kind] = true
+		}
+	}
+	for _, kind := range kinds {
+		is.True(drawn[kind]) // each kind
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,97 @@
+// Package soak runs the real daemon as separate processes, with stand-ins for the store, the
+// workers, the advice service and the operator, and injects faults from outside: signals,
+// links that are cut, delayed or reset, faults of the store and of the workers. Callers
+// submit jobs meanwhile. The rules that must always hold are checked by what callers and
+// workers see. The faults are drawn from a seed and written down as a Schedule. Read Run
+// first.
+//
+// The links between two VMs have no proxy: a VM listens at the address that it tells others.
+package soak
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Result is the outcome of a run.
+type Result struct {
+	Seed       uint64
+	Violations []string
+	Submitted, Accepted, Rejected, Unknown,
+	Completed, Failed, Cancelled, Unanswered int64
+	Starts int
+	// Owners counts the changes of the owner.
+	Owners int
+	// Recovery is the time from the last fault until each accepted job had ended.
+	Recovery time.Duration
+}
+
+// Print writes the result as a line, and a line for each broken rule.
+func (r Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d recovery %.1f s broken rules %d\n",
+		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.Recovery.Seconds(), len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, "  ", v)
+	}
+}
+
+// startupTime is what the VMs have to elect an owner before the traffic starts.
+const startupTime = 2 * time.Second
+
+// Run plays a schedule with the daemon's program, and writes the schedule, the settings and the logs
+// of the VMs to dir. An error means that the run could not be played.
+func Run(s Schedule, daemon, dir string) (Result, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return Result{}, eris.Wrap(err, "create directory of the run")
+	}
+	if err := s.WriteFile(filepath.Join(dir, "schedule.yaml")); err != nil {
+		return Result{}, err
+	}
+	c, err := newCluster(s, daemon, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	defer c.close()
+	cs := newCallers(c)
+	stop := make(chan struct{})
+	var watchers sync.WaitGroup
+	for i := range c.vms {
+		watchers.Go(func() { cs.probe(i, stop) })
+		watchers.Go(func() { cs.watchVersions(i, stop) })
+	}
+	time.Sleep(startupTime)
+	var faultsEndedAt time.Time
+	var faults sync.WaitGroup
+	faults.Go(func() {
+		c.play(s.Faults)
+		faultsEndedAt = time.Now()
+		time.AfterFunc(recoveryTimeout, func() { close(cs.faultsEnd) })
+	})
+	cs.run(s.Traffic, s.JobsPerSecond)
+	faults.Wait()
+	recovery := max(0, time.Since(faultsEndedAt))
+	close(stop)
+	watchers.Wait()
+	return Result{
+		Seed: s.Seed, Violations: c.allViolations(), Submitted: cs.submitted.Load(), Accepted: cs.accepted.Load(),
+		Rejected: cs.rejected.Load(), Unknown: cs.unknown.Load(), Completed: cs.completed.Load(), Failed: cs.failed.Load(),
+		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, Recovery: recovery,
+	}, nil
+}
+
+// play injects the faults of a schedule at their times and returns when all have ended.
+func (c *cluster) play(faults []Fault) {
+	startedAt := time.Now()
+	var wg sync.WaitGroup
+	for _, f := range faults {
+		time.Sleep(time.Until(startedAt.Add(f.At)))
+		wg.Go(func() { c.inject(f) })
+	}
+	wg.Wait()
+}
--- a/standin/cellstore/cellstore.go
+++ b/standin/cellstore/cellstore.go
@@ -123,6 +123,13 @@
 	return s.topic(name).end()
 }
 
+// First returns the offset of the oldest record of a topic that is kept.
+func (s *Store) First(name cell.Topic) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).firstOffset
+}
+
 // topic returns a topic, without the records that are older than the retention, and
 // creates it on first use. s.mu is locked by the caller.
 func (s *Store) topic(name cell.Topic) *topic {
--- /dev/null
+++ b/standin/storeserver/platform.go
@@ -0,0 +1,138 @@
+package storeserver
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"gypsumwinch/internal/cell"
+)
+
+// Topics and keys of the platform that operators and workers write.
+const (
+	configTopic  = cell.Topic("keyed.op")
+	configKey    = "config"
+	workersTopic = cell.Topic("keyed.servers")
+	// OwnerTopic is the topic in which owners of the cell record their ownership.
+	OwnerTopic = "keyed.gypsumwinch.owner"
+	// ReadinessPath is the path of the readiness check of a VM.
+	ReadinessPath = "/v1/readyz"
+	// DeadlineHeader is how long a caller waits for a response, in ms.
+	DeadlineHeader = "X-Gypsumwinch-Deadline-Ms"
+)
+
+// Route is a queue of a configuration.
+type Route struct {
+	Name            string
+	Host            string
+	PathPrefix      string
+	Service         string
+	Priority        int
+	MaxAttempts     int
+	SlackFactor     float64
+	TargetLatencyMs float64
+	Advice          *Advice `json:",omitempty"`
+}
+
+// Advice is the timing of the advice service of a queue.
+type Advice struct {
+	DecisionMs float64
+	PerItemMs  float64
+	ValidityMs float64
+}
+
+// PublishConfig writes a configuration as an operator does.
+func (s *Server) PublishConfig(version int64, routes []Route, service string) error {
+	value, err := json.Marshal(map[string]any{
+		"Version": version, "Routes": routes,
+		"Services": []map[string]any{{"Name": service, "AdmissionCheck": false}},
+	})
+	if err != nil {
+		return err
+	}
+	return s.write(configTopic, configKey, value)
+}
+
+// WorkerEntry is what a worker writes about itself.
+type WorkerEntry struct {
+	ID       string
+	Service  string
+	Addr     string
+	Zone     string
+	MilliCPU int64
+	MemoryMB int64
+	Sequence int64
+	Born     int64
+}
+
+// WriteWorker writes the entry of a worker, as it does itself at each heartbeat.
+func (s *Server) WriteWorker(e WorkerEntry) error {
+	value, err := json.Marshal(map[string]any{
+		"Service": e.Service, "Address": e.Addr, "Zone": e.Zone, "Version": "1", "State": "ready",
+		"Capacity": map[string]any{"Cpu": e.MilliCPU, "MemMb": e.MemoryMB}, "Labels": []string{"kind", "rack"},
+		"Sequence": e.Sequence, "born": e.Born,
+	})
+	if err != nil {
+		return err
+	}
+	return s.write(workersTopic, e.ID, value)
+}
+
+// RemoveWorker removes the entry of a worker that has left.
+func (s *Server) RemoveWorker(id string) error { return s.write(workersTopic, id, nil) }
+
+func (s *Server) write(topic cell.Topic, key string, value []byte) error {
+	_, err := s.Store.Append(context.Background(), cell.Append{Topic: topic, Records: []cell.KeyValue{{Key: key, Value: value}}, ExpectedEnd: -1})
+	return err
+}
+
+// VMSettings are the settings of the process of one VM.
+type VMSettings struct {
+	Name string
+	Zone string
+	IP   string
+	// CallerPort, ReadinessPort and PeerPort are the ports at IP; the port after PeerPort
+	// serves metrics.
+	CallerPort    int
+	ReadinessPort int
+	PeerPort      int
+	StoreAddr     string
+	AdviceAddr    string
+	CPUShare      float64
+	MaxLease      time.Duration
+	Grace         time.Duration
+	GangTimeout   time.Duration
+}
+
+// WriteFile writes the settings file of the process.
+func (v VMSettings) WriteFile(path string) error {
+	data, err := json.MarshalIndent(map[string]any{
+		"NodeName": v.Name, "Zone": v.Zone, "Ip": v.IP,
+		"InternalPortRange": []int{v.PeerPort, v.PeerPort + 1},
+		"BindAddresses": map[string]string{
+			"Frontend":  net.JoinHostPort(v.IP, strconv.Itoa(v.CallerPort)),
+			"Readiness": net.JoinHostPort(v.IP, strconv.Itoa(v.ReadinessPort)),
+		},
+		"Limits":   map[string]any{"CpuShare": v.CPUShare, "Cores": 1, "MemoryMb": 284, "MaxFds": 4100},
+		"Advice":   v.AdviceAddr,
+		"platform": map[string]string{"Address": v.StoreAddr},
+		"Bounds": map[string]any{
+			"MaxHoldMs": v.MaxLease.Milliseconds(), "GraceS": v.Grace.Seconds(), "status_s": 120,
+			"GangTimeoutMs": v.GangTimeout.Milliseconds(), "StopTimeoutMs": 900, "RemoteFactor": 2,
+		},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o644)
+}
+
+// Forget drops the history of all topics but the newest record of each key.
+func (s *Server) Forget() {
+	for _, topic := range []cell.Topic{configTopic, workersTopic, OwnerTopic, "keyed.gypsumwinch.jobs", "keyed.gypsumwinch.progress"} {
+		s.Store.Forget(topic)
+	}
+}
