--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -293,6 +293,17 @@
 	return answer.State, true
 }
 
+// awaitStops waits until no task of a cancelled job runs.
+func (cs *callers) awaitStops(j *job) {
+	for running := cs.cluster.fleet.RunningTasks(j.id); len(running) > 0; running = cs.cluster.fleet.RunningTasks(j.id) {
+		if cs.isOverdue() {
+			cs.cluster.report("UNASKED", "tasks %v of cancelled job %s run %v after the faults", running, j.id, recoveryTimeout)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // judge checks the final state of a job against what the workers have seen.
 func (cs *callers) judge(j *job, final string) {
 	switch final {
@@ -311,10 +322,7 @@
 		if !j.isCancel {
 			cs.cluster.report("LOST", "job %s is shown as cancelled, and nobody cancelled it", j.id)
 		}
-		time.Sleep(visibleAfter)
-		if running := cs.cluster.fleet.RunningTasks(j.id); len(running) > 0 && cs.isOverdue() {
-			cs.cluster.report("UNASKED", "tasks %v of cancelled job %s run", running, j.id)
-		}
+		cs.awaitStops(j)
 	}
 }
 
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"flag"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the soak of the real daemon")
+	soakSeeds = flag.Uint64("soak.seeds", 2, "number of seeds of the soak of the real daemon")
+)
+
+// TestRealDaemonKeepsTheRules guards against a rule that real processes break while signals, links and the store fail.
+func TestRealDaemonKeepsTheRules(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	daemon := filepath.Join(dir, "gypsumwinchd")
+	output, err := exec.Command("go", "build", "-o", daemon, "gypsumwinch/cmd/gypsumwinchd").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, output)
+	}
+	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		s := DrawSchedule(seed, Size{VMs: 4, Workers: 12, Traffic: 15 * time.Second, JobsPerSecond: 4})
+		result, err := Run(s, daemon, filepath.Join(dir, "run"))
+		is.NoErr(err)
+		result.Print(testWriter{t})
+		is.Equal(result.Violations, nil)
+		is.True(result.Completed > 0)
+	}
+}
+
+// testWriter writes to the log of a test.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Logf("%s", p)
+	return len(p), nil
+}
