Stop a run with an unanswered start before a new incarnation is believed not to have it

The first start request of run 1 got no answer; the repeated one was confirmed. The worker restarted 0.25 s later, before it had listed the run, the new incarnation did not list it, and the task was started elsewhere. The first request was then carried out by the new incarnation, which knows nothing of the run.

Only runs that the former incarnation had listed were stopped on the new one. Now each run with an unanswered start that outlives a restart is stopped there, and is closed only once that is acknowledged: a worker refuses a run that it was told to stop.

TestConfirmedRunWithAnUnansweredStartIsStoppedOnANewIncarnation failed before (1 start instead of 0).

--- a/internal/cell/owner/incarnation_test.go
+++ b/internal/cell/owner/incarnation_test.go
@@ -103,6 +103,31 @@
 	is.Equal(len(actionsOf[SendStart](f)), 1)
 }
 
+// TestConfirmedRunWithAnUnansweredStartIsStoppedOnANewIncarnation guards against a start request without an answer that a new incarnation carries out late, when the repeated request had been confirmed.
+func TestConfirmedRunWithAnUnansweredStartIsStoppedOnANewIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.addWorker("z", 1000)
+	start := startOneTask(f)
+	f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: start.Worker, Err: errNoAnswer})
+	f.now += requestRetryInterval
+	f.apply(Tick{})
+	f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: start.Worker}) // the repeated request
+	f.clearActions()
+	f.apply(WorkersListed{Workers: []cell.Worker{restartedWorker(2)}})
+	f.now += time.Millisecond
+	f.answerRenewalAs(2)
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 0) // only the answer to the stop request decides
+	stops := actionsOf[SendStop](f)
+	is.Equal(len(stops), 1)
+	f.apply(StopResult{Task: stops[0].Stop.Task, Run: stops[0].Stop.Run, Worker: "w"})
+	f.now += time.Millisecond
+	f.answerRenewalAs(2)
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 1)
+}
+
 // TestAnswerOfAFormerIncarnationIsIgnored guards against a worker that is taken back
 // to its former incarnation by an answer that was under way when it restarted.
 func TestAnswerOfAFormerIncarnationIsIgnored(t *testing.T) {
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -55,6 +55,10 @@
 	// hasUnansweredStart is true once a start request got no answer; the worker
 	// may still carry it out.
 	hasUnansweredStart bool
+	// hasMoved is true once the worker has restarted while the run was open. The new
+	// incarnation does not remember that the former one had the run, so it carries out a
+	// start request that arrives late.
+	hasMoved bool
 	// mustResend is true while the start request has to be sent again.
 	mustResend  bool
 	isRecovered bool
@@ -179,6 +183,13 @@
 	}
 }
 
+// mayStartLate reports whether a worker that does not list the run may still start it: a
+// start request without an answer may reach an incarnation that has neither had the run nor
+// been told to stop it. reconcile then stops the run before it closes it.
+func (r *run) mayStartLate() bool {
+	return r.hasUnansweredStart && r.hasMoved && !r.isStopAcknowledged
+}
+
 // sendRecordedStarts sends the start requests of runs whose records are
 // stored. handleBatchStored calls it with the planned runs of the batch. A
 // run whose worker or ticket has become unusable since then is closed instead.
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -187,6 +187,7 @@
 	}
 	r.workerStartedAt = startedAt
 	r.isStopAcknowledged = false
+	r.hasMoved = true
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
 		r.phase = phaseRunning
@@ -492,7 +493,12 @@
 	}
 	for _, r := range slices.Clone(w.runList) {
 		key := runKey{r.taskName, r.number}
-		if !listed[key] && r.mustBeListed(sentAt) {
+		switch {
+		case listed[key] || !r.mustBeListed(sentAt):
+		case r.mayStartLate():
+			r.phase = phaseRunning // also of a run whose gang was expected to end
+			m.stopRun(r)
+		default:
 			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
 		}
