Show a job as cancelled only once its owner has recorded that

A VM showed each job whose cancellation is recorded as cancelled; the owner, which was replaced meanwhile, received the cancellation after the last task had ended. A final state is a promise; only the owner's record decides it now. A repeated cancellation is still answered at once and not recorded again.

TestCancellationThatComesTooLateIsNotShown failed before. TestRepeatedSubmissionChangesNothing checked the cancellation by the state that is shown; it now checks that the cancellation is kept, and that the state does not change.

--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -254,7 +254,7 @@
 	if err != nil || !known {
 		return false, err
 	}
-	if state.IsFinal() {
+	if state.IsFinal() || n.replica.isCancelled(id) {
 		return true, nil
 	}
 	kv := cell.KeyValue{Key: cell.CancelKey(id), Value: []byte{'1'}}
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -162,9 +162,10 @@
 	}
 }
 
-// state returns a job's state and whether the job is known. A job with a
-// recorded cancellation counts as cancelled. Callers' requests call it, and
-// other VMs' State RPCs.
+// state returns a job's state and whether the job is known. It is the state that an owner
+// has recorded: a cancellation that is recorded may reach the owner after the job has
+// completed, so that the job is cancelled only once the owner says so. Callers' requests call
+// it, and other VMs' State RPCs.
 func (r *replica) state(id cell.JobID) (s cell.State, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,9 +173,6 @@
 	if !ok {
 		return 0, false
 	}
-	if e.isCancelled && !e.state.IsFinal() {
-		return cell.StateCancelled, true
-	}
 	return e.state, true
 }
 
@@ -200,7 +198,8 @@
 // deleteSubmissions calls it on the owner for each finished job whose
 // submission it deletes: if there is a cancellation, its record is deleted too,
 // and if there is none, no deletion is appended for a key that does not exist.
-// applyJobRecords calls it on the owner for each new submission.
+// applyJobRecords calls it on the owner for each new submission, and Cancel so that a repeated
+// cancellation is not recorded again.
 func (r *replica) isCancelled(id cell.JobID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
