Remove jobs that a topic no longer holds when it is loaded again

What was seen: a VM that could not read the store for longer than its history and status_s + 30 s kept a job whose end, and its deletion, had expired unread. When it took over, the job counted as waiting and ran again (TWICE).

Cause: after ErrExpired the readers of jobs and progress applied the newest record of each key, but not the absence of a key that the VM knew. Only the reader of the workers' entries did that.

Change: the readers of jobs and progress know the keys that are in the store as far as the VM knows, and apply those that are missing in a load as deleted. The keys are taken before the call: a job that is accepted during it may be missing in the pages read before, and is read again after the load. A job that is only known by its submission, whose deletion is seen in this way, stays as a job that waits until the follower has read the progress to its end after that; then its state has expired and it is removed.

Thought through: a key is known only after its append was acknowledged or read, so that it is missing only after its deletion, also if the store is slow or loses answers; an append that is executed late is read after the load, and its job is dealt with as before.

Tests: TestTakeoverDoesNotRunADeletedJob (KNOWN-RED until now) and TestFollowerForgetsAJobWhoseEndItHasMissed failed before; TestLoadKeepsAJobThatIsAcceptedMeanwhile fails if the keys are taken after the call.

--- a/internal/cell/node/gc.go
+++ b/internal/cell/node/gc.go
@@ -26,7 +26,7 @@
 
 // collectGarbage deletes the states of jobs past their retention from the
 // store while this VM owns the cell. A VM that is neither owner nor follower
-// removes old jobs from its replica instead. It runs on every VM, on a
+// removes old jobs from its replica instead, a follower those whose end it has missed. It runs on every VM, on a
 // goroutine that Run starts, once every stateGCInterval.
 func (n *Node) collectGarbage(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -43,6 +43,8 @@
 		n.deleteExpired(ctx, cutoff)
 	case !isFollower(n.settings):
 		n.replica.forgetBefore(cutoff)
+	case n.progressReader.isLoaded.Load():
+		n.replica.forgetExpired(time.Duration(n.progressReader.lastSentAt.Load()))
 	}
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -203,6 +203,8 @@
 	n.ownershipCtx, n.cancelOwnership = context.WithCancel(context.Background())
 	n.jobsReader = n.newTopicReader(cell.TopicJobs, n.applyReadJobRecords)
 	n.progressReader = n.newTopicReader(cell.TopicProgress, n.applyProgressRecords)
+	n.jobsReader.knownKeys = n.replica.submissionKeys
+	n.progressReader.knownKeys = n.replica.progressKeys
 	n.configReader = n.newTopicReader(cell.TopicConfig, n.applyConfigRecords)
 	n.committer = newCommitter(n.commit, n.storeRouter.lastLatency, n.log, func() time.Duration { return time.Duration(n.jobsReader.lastReadAt.Load()) })
 	n.election = election.New(n.store, election.Options{
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -27,6 +27,11 @@
 	wasSubmitted bool
 	// hasStoredSubmission is true while the submission is in the store.
 	hasStoredSubmission bool
+	// hasProgress is true once this VM has read or recorded progress of the job.
+	hasProgress bool
+	// submissionDeletedAt is the boot time at which this VM first knew that a submission
+	// which it had seen is no longer in the store, or 0.
+	submissionDeletedAt time.Duration
 	isCancelled         bool
 	state               cell.State
 	// job and progress are encoded records. progress includes the leading state
@@ -95,6 +100,47 @@
 	if e, ok := r.jobs[rec.Job]; ok && rec.Kind == cell.RecordJob {
 		e.hasStoredSubmission = false
 		e.job = nil
+		e.submissionDeletedAt = bootTime()
+	}
+}
+
+// submissionKeys returns the keys of the submissions that are in the store as far as
+// this VM knows. The topic reader of jobs calls it before it loads the topic.
+func (r *replica) submissionKeys() []string {
+	return r.keys(cell.JobKey, func(e *jobEntry) bool { return e.hasStoredSubmission })
+}
+
+// progressKeys returns the keys of the jobs whose progress is in the store as far as this
+// VM knows. The topic reader of progress calls it before it loads the topic.
+func (r *replica) progressKeys() []string {
+	return r.keys(cell.ProgressKey, func(e *jobEntry) bool { return e.hasProgress })
+}
+
+func (r *replica) keys(key func(cell.JobID) string, isIncluded func(*jobEntry) bool) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for id, e := range r.jobs {
+		if isIncluded(e) {
+			out = append(out, key(id))
+		}
+	}
+	return out
+}
+
+// forgetExpired removes the jobs without a final state whose submissions were known to be
+// deleted before a read to the end of the progress was sent. A submission is deleted
+// after the job's final state is recorded, so that the read shows this state unless it
+// has expired. collectGarbage calls it on a follower, which has read no record of the
+// job's end if it could not read the store for long.
+func (r *replica) forgetExpired(progressReadAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, e := range r.unfinished {
+		if e.wasSubmitted && !e.hasStoredSubmission && !e.state.IsFinal() && e.submissionDeletedAt < progressReadAt {
+			delete(r.jobs, id)
+			delete(r.unfinished, id)
+		}
 	}
 }
 
@@ -143,6 +189,7 @@
 // held for each record of progress.
 func (r *replica) setProgress(id cell.JobID, e *jobEntry, value []byte) {
 	state := cell.State(value[0])
+	e.hasProgress = true
 	if e.state.IsFinal() && !state.IsFinal() {
 		// An older record, read after this VM was the owner.
 		return
@@ -188,6 +235,7 @@
 		return
 	}
 	e.state = s
+	e.hasProgress = true
 	if s.IsFinal() {
 		delete(r.unfinished, id)
 		if e.finishedAtSeconds == 0 {
--- a/internal/cell/node/takeoverfail_test.go
+++ b/internal/cell/node/takeoverfail_test.go
@@ -156,3 +156,54 @@
 	_, isKnown = c.machine.State("b")
 	is.True(isKnown)
 }
+
+// TestFollowerForgetsAJobWhoseEndItHasMissed guards against a job that a follower counts as waiting without end: the records of its end and of their deletion had expired before the follower read them.
+func TestFollowerForgetsAJobWhoseEndItHasMissed(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	_, err := store.Append(ctx, cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: []cell.KeyValue{recordOf(t, "a")}})
+	is.NoErr(err)
+	n := newFollower(t, store)
+	_, err = store.Append(ctx, cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: cell.JobKey("a")}}})
+	is.NoErr(err)
+	store.Forget(cell.TopicJobs)
+	is.NoErr(n.jobsReader.readToEnd(ctx))
+	n.collectOnce(ctx)
+	is.Equal(n.Pending("q"), 1) // its final state may not have been read yet
+	is.NoErr(n.progressReader.readToEnd(ctx))
+	n.collectOnce(ctx)
+	is.Equal(n.Pending("q"), 0)
+	_, known := n.replica.state("a")
+	is.True(!known)
+}
+
+// lateNewestStore calls accept after it has read the newest records, before it returns them.
+type lateNewestStore struct {
+	cell.Store
+	accept func()
+}
+
+func (s lateNewestStore) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
+	batch, err := s.Store.Newest(ctx, topic)
+	s.accept()
+	return batch, err
+}
+
+// TestLoadKeepsAJobThatIsAcceptedMeanwhile guards against an accepted job that is taken for a deleted one, since it is not among the newest records which were read before.
+func TestLoadKeepsAJobThatIsAcceptedMeanwhile(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	n := newFollower(t, store)
+	accept := func() {
+		kv := []cell.KeyValue{recordOf(t, "a")}
+		_, err := store.Append(ctx, cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: kv})
+		is.NoErr(err)
+		n.applyJobRecords(kv)
+	}
+	n.jobsReader.store = lateNewestStore{store, accept}
+	is.NoErr(n.jobsReader.loadNewest(ctx))
+	jobs := n.replica.unfinishedJobs(func(cell.JobID, error) { t.Error("unreadable") })
+	is.Equal(len(jobs), 1)
+}
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -35,9 +35,9 @@
 	topic cell.Topic
 	// apply is called with the records of each read, in order.
 	apply func([]cell.KeyValue)
-	// knownKeys returns the keys that were applied and not deleted. Those that are
-	// missing when the newest records are loaded again are applied as deleted. It is nil
-	// for topics whose deletions may be missed.
+	// knownKeys returns the keys that are in the topic as far as this VM knows. Those that
+	// are missing when the newest records are loaded are applied as deleted: the records
+	// of their deletions may have expired. It is nil for topics without deletions.
 	knownKeys func() []string
 	log       func(message string, details ...any)
 
@@ -61,12 +61,17 @@
 // them. read calls it, with t.mu held, at the first read and after ErrExpired.
 func (t *topicReader) loadNewest(ctx context.Context) error {
 	sentAt := bootTime()
+	// A key that becomes known during the call may be missing in the pages read before.
+	var known []string
+	if t.knownKeys != nil {
+		known = t.knownKeys()
+	}
 	batch, err := t.store.Newest(ctx, t.topic)
 	if err != nil {
 		return err
 	}
 	t.logUnreadable(batch)
-	t.apply(append(batch.Records, t.deletions(batch)...))
+	t.apply(append(batch.Records, deletions(known, batch)...))
 	t.nextOffset.Store(max(batch.Next, 0))
 	t.isLoaded.Store(true)
 	t.loadedAt.Store(int64(bootTime()))
@@ -77,16 +82,13 @@
 
 // deletions returns a record without a value for each known key that is not among the
 // newest records. loadNewest calls it.
-func (t *topicReader) deletions(newest cell.Batch) []cell.KeyValue {
-	if t.knownKeys == nil {
-		return nil
-	}
+func deletions(known []string, newest cell.Batch) []cell.KeyValue {
 	present := map[string]bool{}
 	for _, r := range newest.Records {
 		present[r.Key] = true
 	}
 	var out []cell.KeyValue
-	for _, key := range t.knownKeys() {
+	for _, key := range known {
 		if !present[key] {
 			out = append(out, cell.KeyValue{Key: key})
 		}
