Continue the jobs stream after the log has dropped all of its records

Callers of the daemon without -platform saw jobs that were accepted and never ran, in a data centre without an owner for longer than the log retains records (24 h by default).

Cause: a VM that starts then reads no record, but the stream ends at a later offset.

Change: if the stream has dropped everything before the first read, the state continues at its end. A VM that had read the former records keeps its state, as before.

TestJobsRunAfterAllRecordsWereDropped failed before (the task did not run in 5 minutes of the VM's time) and passes now; package daemon passes.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -300,6 +300,11 @@
 	case records.StreamRequests:
 		c.handleRequestsRead(ev)
 	case records.JobsStream(c.d.settings.DataCentre):
+		if c.jobs.Next() == 0 && ev.next > 0 {
+			// The log has dropped all records. Every owner repeats its snapshot in time,
+			// so there was none for that long, and no job can be restored.
+			c.jobs.StartAt(ev.next)
+		}
 		c.sendReadyStarts()
 	}
 }
--- a/internal/daemon/retention_test.go
+++ b/internal/daemon/retention_test.go
@@ -59,3 +59,13 @@
 		t.Fatal("no snapshot follows a record that is half as old as the retention time")
 	}
 }
+
+// Guards against jobs that are accepted and never run, after the log has dropped all records of a data centre that wrote none for the retention time.
+func TestJobsRunAfterAllRecordsWereDropped(t *testing.T) {
+	vm := newTestVM(t, "w1")
+	vm.nextOffset[vm.jobsStream()] = 1000
+	vm.storeAndRead(vm.jobsStream())
+	vm.becomeOwner()
+	vm.submitJob(false)
+	vm.stepUntil("the task runs", vm.isRunning)
+}
