Do not report a job as accepted while the state of the jobs is unknown

Change: a buffered record has no outcome, so that its caller waits until the time is up and gets unknown; a submission to such a VM is refused as not run.

TestJobIsNotAcceptedBeforeTheJobsAreKnown failed before; package daemon passes.

--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -91,7 +91,7 @@
 	switch {
 	case !c.logReachable(records.StreamRequests):
 		return notRunOutcome("the log is unreachable", logDownRetryAfter)
-	case !c.requestLog.Ready():
+	case !c.requestLog.Ready() || !c.jobs.Complete():
 		return notRunOutcome("this VM has not read the log of submitted jobs yet", busyRetryAfter)
 	}
 	if _, known := c.assignments.get(id); known || !isTooOld(id, time.Now()) {
@@ -278,10 +278,12 @@
 }
 
 // answerRecordWaiters sends the outcome of a record to the callers that wait
-// for it. applyJobRecord calls it for each record, also on VMs that do not own
+// for it. The outcome of a buffered record is not known yet, so that they wait on.
+// applyJobRecord calls it for each record, also on VMs that do not own
 // the data centre.
 func (c *control) answerRecordWaiters(record records.Record, effect jobstate.Effect) {
 	switch {
+	case effect.Kind == jobstate.Buffered:
 	case record.JobAccepted != nil:
 		c.answerJobWaiters(acceptKey(record.JobAccepted.Job.ID), jobOutcome(effect))
 	case record.JobCancelled != nil:
--- /dev/null
+++ b/internal/daemon/latestate_test.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/records"
+	"gypsumwinch/internal/structs"
+)
+
+// Guards against a job that a VM reports as accepted although it does not know the jobs, so that it may be refused.
+func TestJobIsNotAcceptedBeforeTheJobsAreKnown(t *testing.T) {
+	is := is.New(t)
+	vm := newTestVM(t, "w1")
+	vm.storeAndRead(records.StreamRequests)
+	vm.nextOffset[vm.jobsStream()] = 5
+	vm.storeAndRead(vm.jobsStream(), records.Record{JobCancelled: &records.JobCancelled{Job: "another"}})
+	is.True(!vm.c.jobs.Complete())
+	reply := make(chan structs.Outcome, 1)
+	jobSubmitted{job: structs.Job{ID: testJobID}, reply: reply}.apply(vm.c)
+	select {
+	case out := <-reply:
+		is.Equal(out.Status, structs.StatusNotRun)
+	default:
+		t.Fatal("a submission is not refused")
+	}
+	vm.c.jobWaiters[acceptKey(testJobID)] = append(vm.c.jobWaiters[acceptKey(testJobID)], reply)
+	vm.submitJob(false)
+	is.Equal(len(reply), 0) // the outcome is not known
+}
