Do not use the inventories that a former ownership has requested

Callers of the daemon without -platform could see a task run twice at a time: a VM that gives up the ownership and claims it again within the lease of a worker took the list of tasks that it had asked for before, if it arrived after the end, as the one to start from, and recorded the attempts that it did not have as lost. Found by reading; no run has shown it.

Cause: the end of an ownership removes the inventories, but the answer to a request under way stored one again.

Change: an answer to a request that was sent before the end of the last ownership is passed to the ownership machine, which checks its age itself, and is not stored.

TestInventoryOfAFormerOwnershipIsNotUsed failed before; package daemon passes.

--- a/internal/daemon/latestate_test.go
+++ b/internal/daemon/latestate_test.go
@@ -5,8 +5,10 @@
 
 	"github.com/matryer/is"
 
+	"gypsumwinch/internal/ownership"
 	"gypsumwinch/internal/records"
 	"gypsumwinch/internal/structs"
+	"gypsumwinch/internal/workerclient"
 )
 
 // Guards against a job that a VM reports as accepted although it does not know the jobs, so that it may be refused.
@@ -29,3 +31,14 @@
 	vm.submitJob(false)
 	is.Equal(len(reply), 0) // the outcome is not known
 }
+
+// Guards against attempts that are given up while they run, since the list of a former ownership of this VM does not have them.
+func TestInventoryOfAFormerOwnershipIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	vm := newTestVM(t, "w1")
+	vm.becomeOwner()
+	sentAt := vm.c.now()
+	vm.c.stopOwning(ownership.StopOwning{Term: vm.c.term})
+	inventoryAnswered{worker: "w1", sentAt: sentAt, inventory: workerclient.Inventory{}}.apply(vm.c)
+	is.True(vm.c.workers["w1"].inventory == nil)
+}
--- a/internal/daemon/ownership.go
+++ b/internal/daemon/ownership.go
@@ -215,8 +215,9 @@
 	err       error
 }
 
-// apply stores the inventory, passes it to the ownership machine and compares
-// it with the job state. It runs on the control loop after each inventory
+// apply passes the inventory to the ownership machine, stores it and compares
+// it with the job state. One that was requested in a former ownership is not stored,
+// since other owners may have used the worker since. It runs on the control loop after each inventory
 // request, successful or not.
 func (ev inventoryAnswered) apply(c *control) {
 	w := c.workers[ev.worker]
@@ -228,10 +229,12 @@
 		c.logger.Debug("inventory request to a worker failed", "worker", ev.worker, "error", ev.err)
 		return
 	}
-	w.inventory = &ev.inventory
 	c.applyOwnershipEvent(ownership.WorkerInventory{
 		Worker: ev.worker, HeldBy: ev.inventory.Holder, Term: ev.inventory.Term,
 		RemainingTTL: time.Duration(ev.inventory.RemainingMS) * time.Millisecond, SentAt: ev.sentAt,
 	})
-	c.reconcileInventory(w)
+	if ev.sentAt > c.ownershipEndedAt {
+		w.inventory = &ev.inventory
+		c.reconcileInventory(w)
+	}
 }
--- a/internal/daemon/scheduling.go
+++ b/internal/daemon/scheduling.go
@@ -116,9 +116,11 @@
 	// starts.
 	pendingStartOwning *ownership.StartOwning
 	owningSince        time.Duration
-	scheduler          *scheduler.Scheduler
-	term               int64
-	isLimited          bool
+	// ownershipEndedAt is when the last ownership of this VM ended.
+	ownershipEndedAt time.Duration
+	scheduler        *scheduler.Scheduler
+	term             int64
+	isLimited        bool
 	// schedulerEpoch counts the schedulers of this process. Events about
 	// attempts of an earlier scheduler are ignored.
 	schedulerEpoch    int
@@ -171,6 +173,7 @@
 	c.logger.Info("no longer owning the data centre", "term", a.Term, "reason", a.Reason)
 	c.stopBroker()
 	c.pendingStartOwning = nil
+	c.ownershipEndedAt = c.now()
 	c.scheduler = nil
 	c.pendingStarts, c.pendingStops, c.pendingEnds, c.checkpoints, c.readyStarts = nil, nil, nil, nil, nil
 	for _, w := range c.workers {
