Record the outcome of a start that came on the log after its request was answered

Callers of the daemon without -platform got not_run for a non-idempotent request and then unknown for each retry under the same id, for an hour, although it never ran: an append without an answer put the start record on the log after the outcome record, which counts for nothing before its start.

Change: a VM that reads its own start record after the request was answered appends the outcome not_run. That is true, since a request is sent only once its start was read, and a start gives the right to send once. A second outcome of a start counts for nothing.

TestLateStartRecordDoesNotBlockItsID failed before; package daemon passes.

--- a/internal/daemon/latestate_test.go
+++ b/internal/daemon/latestate_test.go
@@ -42,3 +42,17 @@
 	inventoryAnswered{worker: "w1", sentAt: sentAt, inventory: workerclient.Inventory{}}.apply(vm.c)
 	is.True(vm.c.workers["w1"].inventory == nil)
 }
+
+// Guards against an id that can never be used again after its request was answered as not run, since its start record came on the log only after its outcome.
+func TestLateStartRecordDoesNotBlockItsID(t *testing.T) {
+	is := is.New(t)
+	vm := newTestVM(t)
+	vm.storeAndRead(records.StreamRequests)
+	start := &records.RequestStart{ID: testJobID, Instance: vm.d.instance, Number: 1}
+	vm.storeAndRead(records.StreamRequests, records.Record{RequestOutcome: &records.RequestOutcome{
+		ID: testJobID, Instance: vm.d.instance, Number: 1, Status: structs.StatusNotRun,
+	}}, records.Record{RequestStart: start})
+	is.True(vm.c.refuseNonIdempotent(testJobID) != nil)
+	vm.flushAppends()
+	is.True(vm.c.refuseNonIdempotent(testJobID) == nil)
+}
--- a/internal/daemon/requestlog.go
+++ b/internal/daemon/requestlog.go
@@ -55,11 +55,18 @@
 	if start == nil {
 		return
 	}
+	isFromHere := start.Instance == c.d.instance
 	active := c.activeRequests[start.ID]
+	if isFromHere && effect.Won && (active == nil || active.startNumber != start.Number) {
+		// The request was answered before its start was on the log, and its outcome may
+		// have come first, where it counts for nothing. It is never sent, since the start
+		// gave the right to send only now.
+		c.logRequestOutcome(start.ID, start.Number, structs.StatusNotRun)
+	}
 	if active == nil || active.startNumber == 0 {
 		return
 	}
-	own := start.Instance == c.d.instance && start.Number == active.startNumber
+	own := isFromHere && start.Number == active.startNumber
 	switch {
 	case own && effect.Won:
 		c.applyDispatchEvent(dispatch.StartLogged{ID: start.ID})
