Give requests to workers more time while the owner reads answers late

Cause: a start request was given up after 120 ms, while the owner's own queue of answers was longer. Each one given up closes its connection and is sent again on a new one, which lengthens the queue. Change: the mean delay of answers to renewals beyond their wait time is kept; three times that delay, at most 1 s, is added to the timeouts of all requests to workers and to the validity of their permits. Why it works: the delay is that of answers which did arrive, so it grows with the owner's queue and not with workers that are silent.

--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -31,7 +31,8 @@
 	// loop.
 	maxQueuedEvents = 4096
 	// workerRequestTimeout bounds a request to a worker; an answer takes 2 to 4
-	// ms.
+	// ms. The allowance of answerDelay is added to it and to the other timeouts of
+	// requests to workers.
 	workerRequestTimeout = 350 * time.Millisecond
 	// startRequestTimeout bounds a start request, which is repeated unchanged. It
 	// is short because the tightest objective leaves 250 ms for everything but
@@ -116,6 +117,8 @@
 	// successor is the VM that is asked to claim the cell when this VM stops. It
 	// is set when the context of run ends.
 	successor cellpb.Cell
+	// workerDelay is the delay of answers of workers, for the timeouts of requests.
+	workerDelay answerDelay
 }
 
 // flushResult is the result of appending a batch of progress records.
@@ -278,13 +281,17 @@
 		switch a := a.(type) {
 		case owner.SendStart:
 			c.node.metrics.startRequests.Inc()
-			go c.sendStart(c.withPermit(ctx, startRequestTimeout, true), a.Start)
+			timeout := startRequestTimeout + c.workerDelay.allowance()
+			go c.sendStart(c.withPermit(ctx, timeout, true), a.Start, timeout)
 		case owner.SendStop:
-			go c.sendStop(c.withPermit(ctx, workerRequestTimeout, false), a.Stop)
+			timeout := workerRequestTimeout + c.workerDelay.allowance()
+			go c.sendStop(c.withPermit(ctx, timeout, false), a.Stop, timeout)
 		case owner.SendPace:
-			go c.sendPace(c.withPermit(ctx, workerRequestTimeout, false), a.Pace)
+			timeout := workerRequestTimeout + c.workerDelay.allowance()
+			go c.sendPace(c.withPermit(ctx, timeout, false), a.Pace, timeout)
 		case owner.Renew:
-			go c.sendRenewal(ctx, a.Renewal, minRenewSlack+time.Duration(c.machine.WorkerCount())*renewSlackPerWorker)
+			slack := minRenewSlack + time.Duration(c.machine.WorkerCount())*renewSlackPerWorker
+			go c.sendRenewal(ctx, a.Renewal, slack+c.workerDelay.allowance())
 		case owner.QueryAdvice:
 			c.advice.enqueue(a, bootTime())
 		case owner.Publish:
@@ -371,8 +378,8 @@
 // sendStart sends a start request to a worker and posts the result to the
 // control loop. perform starts it on its own goroutine for each SendStart
 // action.
-func (c *controlLoop) sendStart(ctx context.Context, s cell.Start) {
-	callCtx, cancel := context.WithTimeout(ctx, startRequestTimeout)
+func (c *controlLoop) sendStart(ctx context.Context, s cell.Start, timeout time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	clock, refusal, err := c.node.workers.Start(callCtx, s)
 	c.post(ctx, owner.StartResult{Task: s.Task, Run: s.Run, Worker: s.Worker, Clock: clock, Refusal: refusal, Err: err})
@@ -381,8 +388,8 @@
 // sendStop sends a stop request to a worker and posts the result to the
 // control loop. perform starts it on its own goroutine for each SendStop
 // action.
-func (c *controlLoop) sendStop(ctx context.Context, s cell.Stop) {
-	callCtx, cancel := context.WithTimeout(ctx, workerRequestTimeout)
+func (c *controlLoop) sendStop(ctx context.Context, s cell.Stop, timeout time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	refusal, err := c.node.workers.Stop(callCtx, s)
 	c.post(ctx, owner.StopResult{Task: s.Task, Run: s.Run, Worker: s.Worker, Refusal: refusal, Err: err})
@@ -391,8 +398,8 @@
 // sendPace sends a pace request to a worker and posts the result to the
 // control loop. perform starts it on its own goroutine for each SendPace
 // action.
-func (c *controlLoop) sendPace(ctx context.Context, p cell.Pace) {
-	callCtx, cancel := context.WithTimeout(ctx, workerRequestTimeout)
+func (c *controlLoop) sendPace(ctx context.Context, p cell.Pace, timeout time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	refusal, err := c.node.workers.Pace(callCtx, p)
 	c.post(ctx, owner.PaceResult{Pace: p, Refusal: refusal, Err: err})
@@ -406,6 +413,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+slack)
 	defer cancel()
 	inv, refusal, err := c.node.workers.Renew(callCtx, r)
+	if err == nil {
+		c.workerDelay.observe(r.Wait, bootTime()-sentAt)
+	}
 	c.post(ctx, owner.RenewResult{Worker: r.Worker, SentAt: sentAt, Inventory: inv, Refusal: refusal, Err: err})
 }
 
