Look only at usable workers when a step looks for workers to query about

Cause: each waiting step rated the workers from a random one on until 320 were suitable. Change: a cycle lists the usable workers once.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -379,16 +379,16 @@
 // are also expected to hold the gang, since a gang is not queried about otherwise.
 // The result is valid until the next call. selectCandidates calls it.
 func (m *Machine) rateCandidates(s *step, q *cell.Queue, need int) []candidate {
-	if len(m.sortedWorkers) == 0 {
+	if len(m.usableWorkers) == 0 {
 		return nil
 	}
 	all := m.candidates[:0]
 	defer func() { m.candidates = all }()
 	expected := 0.0
 	eligibleFraction := m.statsFor(s.job.def.Queue.Name).eligibleFraction
-	start := m.rand.IntN(len(m.sortedWorkers))
-	for i := range m.sortedWorkers {
-		w := m.sortedWorkers[(start+i)%len(m.sortedWorkers)]
+	start := m.rand.IntN(len(m.usableWorkers))
+	for i := range m.usableWorkers {
+		w := m.usableWorkers[(start+i)%len(m.usableWorkers)]
 		if !m.isSuitable(w, s, q) || !s.advice.mayBeEligible(w.info.ID) {
 			continue
 		}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -101,6 +101,9 @@
 	// firstContacts counts the renewals in flight to workers that have not answered
 	// this owner; see maxFirstContacts.
 	firstContacts int
+	// usableWorkers are those of sortedWorkers that may get new tasks in the current
+	// scheduling cycle.
+	usableWorkers []*worker
 	// candidates is reused by rateCandidates, waitingRuns by resendRequests.
 	candidates  []candidate
 	waitingRuns []*run
--- a/internal/cell/owner/scale_test.go
+++ b/internal/cell/owner/scale_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// BenchmarkSchedulingCycleAfterTakeover measures a cycle in which many steps wait for
+// workers, by the number of those of 3,000 that have answered the new owner.
+func BenchmarkSchedulingCycleAfterTakeover(b *testing.B) {
+	for _, answered := range []int{0, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("%d answered", answered), func(b *testing.B) {
+			f := newLargeOwner(3000, 1000)
+			for i, w := range f.m.sortedWorkers {
+				w.hasAnswered, w.lastSeen = i < answered, f.now
+			}
+			for b.Loop() {
+				for _, s := range f.m.waitingSteps {
+					s.advice.queriesInFlight, s.advice.nextQueryAt = 0, 0
+				}
+				f.m.isCycleNeeded = true
+				f.m.Place(f.time(), unlimitedAdvice)
+			}
+		})
+	}
+}
+
 // BenchmarkTick measures a tick, by the number of workers; each has eight runs.
 func BenchmarkTick(b *testing.B) {
 	for _, workers := range []int{300, 1000, 3000} {
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -20,12 +20,26 @@
 	slices.SortFunc(steps, rankedStep.compare)
 	m.cycle++
 	m.updateQuarantineSuspension()
+	m.findUsableWorkers()
 	for _, r := range steps {
 		m.placeStep(r.step, r.queue)
 		m.addReservations(r.step)
 	}
 }
 
+// findUsableWorkers lists the workers that may get new tasks in this scheduling cycle. A
+// new owner of a large cell has waited for few answers when thousands of steps wait;
+// if each of them looked at all workers, a cycle would take longer than a lease.
+// runCycle calls it; handling of an event may make a worker unusable before the next one.
+func (m *Machine) findUsableWorkers() {
+	m.usableWorkers = m.usableWorkers[:0]
+	for _, w := range m.sortedWorkers {
+		if m.isUsable(w) {
+			m.usableWorkers = append(m.usableWorkers, w)
+		}
+	}
+}
+
 // rankedStep is a waiting step with its sort keys.
 type rankedStep struct {
 	step  *step
