Answer hello messages without going through all VMs

Cause: the owner's answer to each hello message names store proxies, and each answer collected, shuffled and sorted all VMs. With 298 VMs and four messages a second each, this took a sixth of a core of the owner, which has 0.8, and grew with the square of the number of VMs. Change: the list of the candidates is kept for 100 ms, or until a VM reports a change; an answer takes four from a random one on, large ones first.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -169,7 +169,10 @@
 	// proxyCandidates are the VMs that reported that the store answers them, by
 	// address. Guarded by mu.
 	proxyCandidates map[string]proxyCandidate
-	isDraining      atomic.Bool
+	// proxyList lists the usable ones of proxyCandidates; nil if it has to be built.
+	// Guarded by mu.
+	proxyList  *proxyList
+	isDraining atomic.Bool
 	// ownershipCtx ends when this VM may no longer own the cell.
 	ownershipCtx    context.Context
 	cancelOwnership context.CancelFunc
--- a/internal/cell/node/proxyselection.go
+++ b/internal/cell/node/proxyselection.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,11 +28,27 @@
 	isLarge bool
 }
 
+// proxyList is the list of the usable proxy candidates. The answer to each hello message
+// names some of them: if each answer selected them anew, the owner's work would grow with
+// the square of the number of VMs.
+type proxyList struct {
+	large   []string
+	small   []string
+	builtAt time.Duration
+}
+
+// proxyListTTL is how long a proxyList is used if no VM reports a change.
+const proxyListTTL = 100 * time.Millisecond
+
 // updateProxyCandidate records whether the store answers a VM. The Hello RPC
 // calls it for each hello message that this VM receives.
 func (n *Node) updateProxyCandidate(addr string, storeAnswers, isLarge bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	old, isCandidate := n.proxyCandidates[addr]
+	if isCandidate != storeAnswers || old.isLarge != isLarge {
+		n.proxyList = nil
+	}
 	if !storeAnswers {
 		delete(n.proxyCandidates, addr)
 		return
@@ -41,29 +56,48 @@
 	n.proxyCandidates[addr] = proxyCandidate{lastSeen: bootTime(), isLarge: isLarge}
 }
 
+// currentProxyList returns the list of the usable proxy candidates. storeProxyAddrs calls
+// it with mu held.
+func (n *Node) currentProxyList() *proxyList {
+	now := bootTime()
+	if n.proxyList != nil && now-n.proxyList.builtAt <= proxyListTTL {
+		return n.proxyList
+	}
+	n.proxyList = &proxyList{builtAt: now}
+	for addr, p := range n.proxyCandidates {
+		switch {
+		case now-p.lastSeen > proxyCandidateTTL:
+			delete(n.proxyCandidates, addr)
+		case p.isLarge:
+			n.proxyList.large = append(n.proxyList.large, addr)
+		default:
+			n.proxyList.small = append(n.proxyList.small, addr)
+		}
+	}
+	return n.proxyList
+}
+
 // storeProxyAddrs returns the addresses of some VMs that the store answers,
-// without exclude: large VMs first, otherwise in random order. The VM that
+// without exclude: large VMs first, otherwise from a random one on. The VM that
 // holds the term calls it when it answers a hello message and when it needs
 // store proxies itself.
 func (n *Node) storeProxyAddrs(exclude string) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := bootTime()
-	maps.DeleteFunc(n.proxyCandidates, func(_ string, p proxyCandidate) bool { return now-p.lastSeen > proxyCandidateTTL })
-	out := slices.Collect(maps.Keys(n.proxyCandidates))
-	out = slices.DeleteFunc(out, func(addr string) bool { return addr == exclude })
-	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
-	slices.SortStableFunc(out, func(a, b string) int {
-		switch {
-		case n.proxyCandidates[a].isLarge == n.proxyCandidates[b].isLarge:
-			return 0
-		case n.proxyCandidates[a].isLarge:
-			return -1
-		default:
-			return 1
+	list := n.currentProxyList()
+	out := make([]string, 0, maxAdvertisedProxies)
+	for _, addrs := range [][]string{list.large, list.small} {
+		if len(addrs) == 0 {
+			continue
+		}
+		start := rand.IntN(len(addrs))
+		for i := 0; i < len(addrs) && len(out) < maxAdvertisedProxies; i++ {
+			if addr := addrs[(start+i)%len(addrs)]; addr != exclude {
+				out = append(out, addr)
+			}
 		}
-	})
-	return out[:min(maxAdvertisedProxies, len(out))]
+	}
+	return out
 }
 
 // storeProxyClients returns clients of the VMs through which the store may be
