Keep an owner whose heartbeats come back, and count an owner whose record cannot be read

Callers saw a needless change of the owner: a VM that waits for other claims (a small one 1.2 s) replaced an owner whose heartbeats had come back during the wait, since it checked only who had written the newest record. It now gives the claim up if the owner has sent one meanwhile and is not known to have ended.

A task could run twice: a former owner whose record cannot be decoded, as one of another build, counted as no owner, so that its authority over the workers was taken as ended with the claim. The newest record is now an unknown owner, which may renew leases for the whole time.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -124,6 +124,9 @@
 	// other goroutines.
 	heartbeatOffset atomic.Int64
 	lastRecord      OwnerRecord
+	// isNewestUnreadable is true if the newest record could not be decoded, as one of another
+	// build. lastRecord is then the zero value, although the cell has an owner.
+	isNewestUnreadable bool
 	// ownedAt is when the call was sent that last showed that this VM owns the cell.
 	ownedAt time.Duration
 	// returnedTerm is the last term that Campaign has returned. No term is returned
@@ -256,15 +259,18 @@
 }
 
 // waitForOtherClaims waits for ClaimDelay, so that VMs with a shorter delay can
-// claim, and reports whether none of them did. The successor that the owner named
-// does not wait. Campaign calls it before each claim.
+// claim, and reports whether none of them did and the owner has not sent another
+// heartbeat. The successor that the owner named does not wait. Campaign calls it before
+// each claim.
 func (e *Election) waitForOtherClaims(ctx context.Context) (unclaimed bool, err error) {
-	instance := e.lastRecord.Instance
+	instance, offset := e.lastRecord.Instance, e.nextOffset
 	if e.isSuccessor() {
 		return true, nil
 	}
 	e.sleep(ctx, e.opts.ClaimDelay)
-	return e.confirmLastOwner(ctx, instance)
+	isLast, err := e.confirmLastOwner(ctx, instance)
+	ownerIsBack := e.nextOffset > offset && !e.isKnownToHaveEnded(e.lastRecord)
+	return isLast && !ownerIsBack, err
 }
 
 // loadNewest reads the newest record and the offset after it. Campaign calls it first,
@@ -419,9 +425,10 @@
 		var rec OwnerRecord
 		if err := json.Unmarshal(r.Value, &rec); err != nil {
 			e.opts.Log("owner record cannot be decoded", "error", err.Error())
+			e.lastRecord, e.isNewestUnreadable = OwnerRecord{}, true
 			continue
 		}
-		e.lastRecord = rec
+		e.lastRecord, e.isNewestUnreadable = rec, false
 		e.opts.OnRecord(rec)
 	}
 }
@@ -446,7 +453,7 @@
 		e.ownedAt = sentAt
 		e.nextOffset = end
 		e.heartbeatOffset.Store(end)
-		e.lastRecord = rec
+		e.lastRecord, e.isNewestUnreadable = rec, false
 		e.opts.OnRecord(rec)
 		e.opts.Log("claimed the cell", "term", rec.Term, "offset", end)
 		return rec.Term, true, nil
--- a/internal/cell/election/former.go
+++ b/internal/cell/election/former.go
@@ -21,8 +21,12 @@
 // isKnownToHaveEnded reports whether the ownership that wrote a record has certainly ended,
 // so that it renews no lease any more: there is none, it has resigned, or another process
 // answers at its address (ReportEnded). An owner that is silent, or refuses connections,
-// may still renew leases. claim calls it with the newest record.
+// may still renew leases, and so may one whose record cannot be decoded. claim and
+// waitForOtherClaims call it with the newest record.
 func (e *Election) isKnownToHaveEnded(r OwnerRecord) bool {
+	if e.isNewestUnreadable {
+		return false
+	}
 	ended := e.endedInstance.Load()
 	return r.Term == 0 || r.Resigned || e.hasEnded(r) || ended != nil && *ended == r.Instance
 }
