Stop a whole gang when the start of a member is being taken back

A refused start whose first request got no answer is stopped, and the gang was stopped only once that run was closed: two calls to a worker later, each behind the queue of an owner that is short of processor time. The same holds for a member whose worker restarts.

Both paths now stop the other members at the same time; a gang that lacks a member can do no work, so that nothing is lost by it.

--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// stopWithGang stops a run and, if it is a member of a gang, the others with it: they would
+// hold their capacity until the stop of this one is acknowledged, and then end alone. It runs
+// when the start of the run may still be carried out but is not wanted any more.
+func (m *Machine) stopWithGang(r *run, reason string) {
+	m.stopRun(r)
+	if r.step != nil && r.step.def.Gang {
+		m.stopGang(r.step, reason)
+	}
+}
+
 // stopRun stops a run. A run whose start request was not sent is closed at
 // once; otherwise a stop request is sent once no other request about the run
 // is in flight, and the run stays open until an inventory shows that it has
@@ -370,7 +380,7 @@
 		w.nextRenewalAt = m.now.Mono
 	}
 	if r.hasUnansweredStart && refusal != cell.RefusedIncarnation {
-		m.stopRun(r)
+		m.stopWithGang(r, "start of a member was refused")
 		return
 	}
 	m.closeRun(r, "start refused")
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -191,7 +191,7 @@
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
 		r.phase = phaseRunning
-		m.stopRun(r)
+		m.stopWithGang(r, "worker of a member has restarted")
 	}
 }
 
@@ -497,7 +497,7 @@
 		case listed[key] || !r.mustBeListed(sentAt):
 		case r.mayStartLate():
 			r.phase = phaseRunning // also of a run whose gang was expected to end
-			m.stopRun(r)
+			m.stopWithGang(r, "member not listed after a restart")
 		default:
 			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
