Close the runs of a worker that was replaced when another worker answers at its address

Workers crashed behind a cut and started again under other ids; after a change of the owner the new one was refused at their addresses (421), since another worker answers there, and yet waited 11.3 s for the longest lease that a former owner could have renewed, and again after each further change.

The refusal proves that the process with the runs has ended. Starts and stops already closed a run at it; a renewal now closes all runs of incarnations up to the listed one, if it was sent after that one was seen.

--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -446,6 +446,9 @@
 		// The start time of the new incarnation arrives with its entry in the
 		// store.
 		w.hasAnswered = false
+		if e.SentAt >= w.incarnationSeenAt {
+			m.closeReplacedRuns(w)
+		}
 	}
 	w.failedRenewals++
 	if w.failedRenewals == 3 {
@@ -453,6 +456,17 @@
 	}
 }
 
+// closeReplacedRuns closes the runs of a worker at whose address another worker answers: the
+// process that had them has ended. A run of an incarnation that is later than the listed one
+// may be at another address. handleFailedRenewal calls it.
+func (m *Machine) closeReplacedRuns(w *worker) {
+	for _, r := range slices.Clone(w.runList) {
+		if r.phase != phasePlanned && r.phase != phaseRecording && r.workerStartedAt <= w.info.Born {
+			m.closeRun(r, "lost: worker has been replaced")
+		}
+	}
+}
+
 // errText returns the text of an error for a log line, "" for nil.
 func errText(err error) string {
 	if err == nil {
