Draw overlapping faults, cuts between VMs and a final fault in the soak of the store

The soak of the store drew one fault at a time and ended with processes that had run for seconds. It now draws one or two faults of the store and of the calls between the nodes (refused, silent, lost answers), each for all nodes or for some; lets the store forget the history of some topics; submits accepted jobs again up to 6 s later; and ends with a final fault: all processes end right after an acknowledgement and start again empty, in half of the soaks beside a fault that lasts on. It also checks that no task completes of a job of which every submission was refused. -soak.answers bounds the time in which all nodes report the end of all jobs; it is off by default, since the verdict would depend on the machine.

--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,6 +113,32 @@
 	return nil
 }
 
+// errPeerRefused is the error of a call to another VM whose port is closed.
+var errPeerRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+// soakPeers are the other VMs as one node reaches them.
+type soakPeers struct {
+	http.RoundTripper
+	faultMode atomic.Int32
+}
+
+func (p *soakPeers) RoundTrip(r *http.Request) (*http.Response, error) {
+	switch cellstore.Fault(p.faultMode.Load()) {
+	case cellstore.Refuse:
+		return nil, errPeerRefused
+	case cellstore.Silent:
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	case cellstore.LoseAnswer:
+		resp, err := p.RoundTripper.RoundTrip(r)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return nil, errors.Join(err, cellstore.ErrLost)
+	}
+	return p.RoundTripper.RoundTrip(r)
+}
+
 // lockedRand is a random source that is safe for concurrent use.
 type lockedRand struct {
 	mu  sync.Mutex
@@ -348,6 +376,7 @@
 	mu      sync.Mutex
 	nodes   [soakNodeCount]*Node
 	stores  [soakNodeCount]*soakStore
+	peers   [soakNodeCount]*soakPeers
 	cancels [soakNodeCount]context.CancelFunc
 	addrs   [soakNodeCount]string
 	// smallNodes is the number of nodes, from the last one on, that are no followers.
@@ -371,10 +400,12 @@
 		Name: fmt.Sprintf("vm-%d", i), DataCentre: "dc", PeerAddr: c.addrs[i], CPUCores: cpuCores,
 		LeaseLimit: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, RemoteFactor: 2,
 	}, Ports{Store: store, Workers: c.fleet, Advisor: soakAdvisor{}, Decoder: soakDecoder{}}, out)
+	peers := &soakPeers{RoundTripper: n.httpClient.Transport}
+	n.httpClient.Transport = peers
 	ctx, cancel := context.WithCancel(context.Background())
 	c.mu.Lock()
 	exited := make(chan struct{})
-	c.nodes[i], c.stores[i], c.cancels[i], c.exited[i] = n, store, cancel, exited
+	c.nodes[i], c.stores[i], c.peers[i], c.cancels[i], c.exited[i] = n, store, peers, cancel, exited
 	c.mu.Unlock()
 	go func() {
 		defer close(exited)
--- a/internal/cell/node/storesoak_test.go
+++ b/internal/cell/node/storesoak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -22,6 +23,8 @@
 	// storeSoakVisibleAfter is the time after which an accepted job may not be answered
 	// as unknown.
 	storeSoakVisibleAfter = 3 * time.Second
+	// storeSoakFinalPart is how long callers go on after the final fault begins.
+	storeSoakFinalPart = 2 * time.Second
 )
 
 // acceptedJob is a job that a node has acknowledged.
@@ -37,22 +40,82 @@
 	*soakCell
 	jobsMu sync.Mutex
 	jobs   []acceptedJob
+	// refused are jobs of which every submission was refused.
+	refused []cell.JobID
+	callers sync.WaitGroup
 	// acknowledged receives a value after an acknowledgement, if somebody waits for it.
 	acknowledged chan struct{}
 }
 
-// storeFault is a fault of the store of some nodes; set begins and ends it.
+// storeFault is a fault of the way of some nodes to the store or to the other nodes; set
+// begins and ends it.
 type storeFault struct {
 	name string
-	set  func(s *soakStore, active bool)
+	set  func(s *soakStore, p *soakPeers, active bool)
 }
 
 var storeFaults = []storeFault{
-	{"slow", func(s *soakStore, active bool) { s.delay.Store(int64(choose(active, 350*time.Millisecond))) }},
-	{"lost answers", func(s *soakStore, active bool) { s.lostAnswerPercent.Store(choose[int32](active, 40)) }},
-	{"late appends", func(s *soakStore, active bool) { s.latePercent.Store(choose[int32](active, 40)) }},
-	{"refused", func(s *soakStore, active bool) { s.faultMode.Store(int32(choose(active, cellstore.Refuse))) }},
-	{"silent", func(s *soakStore, active bool) { s.faultMode.Store(int32(choose(active, cellstore.Silent))) }},
+	{"slow", func(s *soakStore, _ *soakPeers, active bool) {
+		s.delay.Store(int64(choose(active, 350*time.Millisecond)))
+	}},
+	{"lost answers", func(s *soakStore, _ *soakPeers, active bool) { s.lostAnswerPercent.Store(choose[int32](active, 40)) }},
+	{"late appends", func(s *soakStore, _ *soakPeers, active bool) { s.latePercent.Store(choose[int32](active, 40)) }},
+	{"refused", func(s *soakStore, _ *soakPeers, active bool) {
+		s.faultMode.Store(int32(choose(active, cellstore.Refuse)))
+	}},
+	{"silent", func(s *soakStore, _ *soakPeers, active bool) {
+		s.faultMode.Store(int32(choose(active, cellstore.Silent)))
+	}},
+	{"peers refused", func(_ *soakStore, p *soakPeers, active bool) {
+		p.faultMode.Store(int32(choose(active, cellstore.Refuse)))
+	}},
+	{"peers silent", func(_ *soakStore, p *soakPeers, active bool) {
+		p.faultMode.Store(int32(choose(active, cellstore.Silent)))
+	}},
+	{"lost answers of peers", func(_ *soakStore, p *soakPeers, active bool) {
+		p.faultMode.Store(int32(choose(active, cellstore.LoseAnswer)))
+	}},
+}
+
+// drawnFault is a fault and the nodes that it affects.
+type drawnFault struct {
+	storeFault
+	nodes []int
+}
+
+// drawFault draws a fault of all nodes or of some.
+func (s *storeSoak) drawFault() drawnFault {
+	f := drawnFault{storeFaults[s.rng.IntN(len(storeFaults))], []int{0, 1, 2, 3}}
+	if s.rng.IntN(2) == 0 {
+		f.nodes = slices.DeleteFunc(f.nodes, func(int) bool { return s.rng.IntN(2) == 0 })
+	}
+	return f
+}
+
+// setFaults begins or ends faults at the processes that run now.
+func (s *storeSoak) setFaults(faults []drawnFault, active bool) {
+	for _, f := range faults {
+		for _, i := range f.nodes {
+			s.mu.Lock()
+			store, peers := s.stores[i], s.peers[i]
+			s.mu.Unlock()
+			f.set(store, peers, active)
+		}
+	}
+}
+
+// pause waits for up to a second.
+func (s *storeSoak) pause() {
+	time.Sleep(time.Duration(50+s.rng.IntN(900)) * time.Millisecond)
+}
+
+// forgetHistory lets the store drop the history of some topics.
+func (s *storeSoak) forgetHistory() {
+	for _, topic := range []cell.Topic{cell.TopicOwner, cell.TopicJobs, cell.TopicProgress} {
+		if s.rng.IntN(2) == 0 {
+			s.store.Forget(topic)
+		}
+	}
 }
 
 // choose returns value if active is true, else the zero value.
@@ -97,25 +160,15 @@
 	wg.Wait()
 }
 
-// injectStoreFault begins one fault of the store, changes the owner while it lasts, and
-// ends it.
+// injectStoreFault begins one or two faults, changes the owner while they last, and ends
+// them.
 func (s *storeSoak) injectStoreFault() {
-	fault := storeFaults[s.rng.IntN(len(storeFaults))]
-	affected := []int{0, 1, 2, 3}
+	faults := []drawnFault{s.drawFault()}
 	if s.rng.IntN(2) == 0 {
-		affected = slices.DeleteFunc(affected, func(int) bool { return s.rng.IntN(2) == 0 })
+		faults = append(faults, s.drawFault())
 	}
-	set := func(active bool) {
-		for _, i := range affected {
-			s.mu.Lock()
-			store := s.stores[i]
-			s.mu.Unlock()
-			fault.set(store, active)
-		}
-	}
-	pause := func() { time.Sleep(time.Duration(50+s.rng.IntN(900)) * time.Millisecond) }
-	set(true)
-	pause()
+	s.setFaults(faults, true)
+	s.pause()
 	var down []int
 	switch s.rng.IntN(4) {
 	case 0:
@@ -129,20 +182,45 @@
 		down = []int{s.ownerIndex()}
 		s.node(down[0]).Drain()
 		s.node(down[0]).ResignOwnership()
-		pause()
+		s.pause()
 		s.kill(down)
 	}
-	pause()
+	if s.rng.IntN(3) == 0 {
+		s.forgetHistory()
+	}
+	s.pause()
 	for _, i := range down {
 		s.startNode(i)
 	}
 	if s.rng.IntN(2) == 0 {
-		// The fault goes on while processes start and claim the cell.
-		set(true)
-		pause()
+		// The faults go on while processes start and claim the cell.
+		s.setFaults(faults, true)
+		s.pause()
 	}
-	set(false)
-	pause()
+	s.setFaults(faults, false)
+	s.pause()
+}
+
+// injectFinalFault ends all processes right after an acknowledgement, in half of the soaks
+// beside a fault that lasts until the new processes have started.
+func (s *storeSoak) injectFinalFault() {
+	var faults []drawnFault
+	if s.rng.IntN(2) == 0 {
+		faults = append(faults, s.drawFault())
+	}
+	s.setFaults(faults, true)
+	s.kill([]int{0, 1, 2, 3})
+	if s.rng.IntN(3) == 0 {
+		s.forgetHistory()
+	}
+	for i := range soakNodeCount {
+		s.startNode(i)
+	}
+	s.setFaults(faults, true)
+	if len(faults) > 0 {
+		s.pause()
+	}
+	s.setFaults(faults, false)
 }
 
 // runCaller submits jobs until end, some of them repeated, and cancels some of them.
@@ -153,7 +231,13 @@
 		if s.rng.IntN(8) == 0 {
 			job.Repeat, job.FirstDueAt, job.Interval = 3, time.Now(), 400*time.Millisecond
 		}
-		if accepted, _ := s.submit(job); accepted {
+		accepted, refused := s.submit(job)
+		if refused {
+			s.jobsMu.Lock()
+			s.refused = append(s.refused, id)
+			s.jobsMu.Unlock()
+		}
+		if accepted {
 			job := acceptedJob{id: id, acceptedAt: time.Now(), isCancelled: s.rng.IntN(10) == 0}
 			s.jobsMu.Lock()
 			s.jobs = append(s.jobs, job)
@@ -162,6 +246,9 @@
 			case s.acknowledged <- struct{}{}:
 			default:
 			}
+			if s.rng.IntN(4) == 0 {
+				s.callers.Go(func() { s.repeat(newSoakJob(id)) })
+			}
 			if job.isCancelled {
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 				_, _ = s.node(s.rng.IntN(soakNodeCount)).Cancel(ctx, id)
@@ -172,6 +259,14 @@
 	}
 }
 
+// repeat submits an accepted job again, up to 6 s later, and ignores the answer.
+func (s *storeSoak) repeat(job *cell.Job) {
+	time.Sleep(time.Duration(s.rng.IntN(6000)) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_ = s.node(s.rng.IntN(soakNodeCount)).Submit(ctx, job)
+}
+
 // checkStates asks random nodes for random accepted jobs until ctx ends.
 func (s *storeSoak) checkStates(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -217,10 +312,18 @@
 	}
 }
 
+// soakAnswerTimeout makes the verdict depend on time, so that it is for runs by hand.
+var soakAnswerTimeout = flag.Duration("soak.answers", 0, "time after the end of the soak of the store in which each job has to end and be answered; 0 for no bound but that of the test")
+
 // checkEnd waits until every node reports the end of every accepted job.
 func (s *storeSoak) checkEnd(t *testing.T) {
 	t.Helper()
-	deadline := time.Now().Add(soakCompletionTimeout)
+	begin := time.Now()
+	deadline := begin.Add(soakCompletionTimeout)
+	if *soakAnswerTimeout > 0 {
+		deadline = begin.Add(*soakAnswerTimeout)
+	}
+	defer func() { t.Logf("seed %d: all ends were reported after %v", *soakSeed, time.Since(begin)) }()
 	for _, job := range s.jobs {
 		for i := range soakNodeCount {
 			for {
@@ -242,9 +345,23 @@
 	}
 }
 
+// checkRefused fails the test for each task that completed although every submission of its
+// job was refused.
+func (s *storeSoak) checkRefused(t *testing.T) {
+	t.Helper()
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for task := range s.fleet.completedTasks {
+		if id, err := cell.ParseTaskID(task); err != nil || slices.Contains(s.refused, id.Job) {
+			t.Errorf("task %s ran although every submission of its job was refused", task)
+		}
+	}
+}
+
 // TestSoakOfStoreFaults guards jobs that callers were told are accepted, while the store
-// is slow, loses answers, executes appends late or does not serve some nodes, and the
-// owner changes or all processes end at once: each job is known and reaches its end.
+// is slow, loses answers, executes appends late, forgets its history or does not serve
+// some nodes, nodes do not reach each other, and the owner changes or all processes end at
+// once, at last right after an acknowledgement: each job is known and ends, once.
 func TestSoakOfStoreFaults(t *testing.T) {
 	t.Parallel()
 	smallNodes := 1
@@ -261,21 +378,23 @@
 	defer s.fleet.report(t)
 	end := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
-	var checks, callers sync.WaitGroup
+	var checks sync.WaitGroup
 	checks.Go(func() { s.checkStates(ctx) })
 	checks.Go(func() { s.checkTerms(ctx) })
 	for caller := range 4 {
-		callers.Go(func() { s.runCaller(caller, end) })
+		s.callers.Go(func() { s.runCaller(caller, end) })
 	}
-	for time.Now().Before(end) {
+	for time.Now().Before(end.Add(-storeSoakFinalPart)) {
 		s.injectStoreFault()
 	}
-	callers.Wait()
+	s.injectFinalFault()
+	s.callers.Wait()
 	t.Logf("seed %d: %d jobs accepted", *soakSeed, len(s.jobs))
 	// checkEnd may end the test.
 	defer checks.Wait()
 	defer cancel()
 	s.checkEnd(t)
+	s.checkRefused(t)
 	if len(s.jobs) == 0 {
 		t.Fatal("no job was accepted")
 	}
