Let a deposed owner deny no job before it knows that it was deposed

What callers would see: 410 for an accepted job that has ended. A VM that owned the cell and could not reach the store for longer than its history loads the jobs again when it does; the submission of a job that another owner has run is deleted by then. Until its next heartbeat is refused the VM counts as owner, and an owner was taken to know all states since its takeover, so that it denied the job to its callers, and to VMs that know no jobs.

Cause: hasReadProgress returned true for every owner, also after a load of the jobs that came later than the takeover.

Change: an owner knows the states before a load only if a heartbeat that it sent after the load was accepted: then it owned the cell until then and has recorded all states itself. Else the answer is 503.

Test: TestDeposedOwnerDeniesNoJob failed before.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -275,12 +275,14 @@
 	return n.hasReadProgress() && bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
 }
 
-// hasReadProgress reports whether this VM has read topic progress since it loaded the
-// jobs. Before that it does not know a job that has ended and whose submission was
-// deleted before the load. The owner has read it in its takeover, after it had fenced
-// the former owner.
+// hasReadProgress reports whether this VM knows the states that were recorded before it
+// loaded the jobs. Otherwise it does not know a job that has ended and whose submission was
+// deleted before the load. A follower has read topic progress since the load. An owner
+// has recorded all states itself if it still owned the cell after the load: a heartbeat
+// that was sent later has been accepted. Without one it may have been deposed.
 func (n *Node) hasReadProgress() bool {
-	return n.activeLoop() != nil || n.progressReader.lastSentAt.Load() >= n.jobsReader.loadedAt.Load()
+	loadedAt := n.jobsReader.loadedAt.Load()
+	return n.progressReader.lastSentAt.Load() >= loadedAt || n.activeLoop() != nil && n.heartbeatAt.Load() >= loadedAt
 }
 
 // claimDelay returns how long a VM waits before it claims the cell. VMs with
--- a/internal/cell/node/takeover_test.go
+++ b/internal/cell/node/takeover_test.go
@@ -138,6 +138,31 @@
 	is.Equal(state, cell.StateCompleted)
 }
 
+// TestDeposedOwnerDeniesNoJob guards against 410 for a job that ended under another owner, from a VM that has loaded the jobs again but does not know yet that it was deposed.
+func TestDeposedOwnerDeniesNoJob(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	n := newFollower(t, store)
+	n.heartbeatAt.Store(int64(bootTime()))
+	n.setLoop(newControlLoop(n, 1))
+	completed, err := cell.EncodeProgress(&cell.Progress{State: cell.StateCompleted})
+	is.NoErr(err)
+	_, err = store.Append(ctx, cell.Append{Topic: cell.TopicProgress, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: cell.ProgressKey("a"), Value: completed}}})
+	is.NoErr(err)
+	is.NoErr(n.jobsReader.loadNewest(ctx)) // the submission was deleted, and its record has expired
+	isDenied := func() bool {
+		_, known, err := n.State(ctx, "a")
+		resp, rpcErr := (&rpcServer{node: n}).State(ctx, &cellpb.StateRequest{Job: "a"})
+		is.NoErr(rpcErr)
+		is.Equal(!known && err == nil, resp.Follows && resp.State == "")
+		return resp.Follows
+	}
+	is.True(!isDenied())
+	n.heartbeatAt.Store(int64(bootTime()))
+	is.True(isDenied()) // an owner after the load has recorded all states itself
+}
+
 // TestExpiredJobIsNotTakenOver guards against a job that runs again after its state has
 // expired: its submission was appended once more after it had been deleted, by a VM that
 // did not know the job or by an append that the store executed late.
