--- a/internal/cell/owner/suspectgang_test.go
+++ b/internal/cell/owner/suspectgang_test.go
@@ -37,6 +37,7 @@
 	for range 30 {
 		f.now += 100 * time.Millisecond
 		f.renewAll()
+		f.apply(Tick{})
 		f.scheduleAndRecord()
 	}
 	is.Equal(len(actionsOf[SendStart](f)), 4)
@@ -61,6 +62,7 @@
 	for range 30 {
 		f.now += 100 * time.Millisecond
 		f.renewAll()
+		f.apply(Tick{})
 		f.scheduleAndRecord()
 	}
 	is.Equal(len(actionsOf[SendStart](f)), 1)
