--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -169,10 +169,15 @@
 	// proxyCandidates are the VMs that reported that the store answers them, by
 	// address. Guarded by mu.
 	proxyCandidates map[string]proxyCandidate
-	isDraining      atomic.Bool
+	// proxyList lists the usable ones of proxyCandidates; nil if it has to be built.
+	// Guarded by mu.
+	proxyList  *proxyList
+	isDraining atomic.Bool
 	// ownershipCtx ends when this VM may no longer own the cell.
 	ownershipCtx    context.Context
 	cancelOwnership context.CancelFunc
+	// takeoverTimeout bounds a takeover that fails; see defaultTakeoverTimeout.
+	takeoverTimeout time.Duration
 }
 
 // New returns a node that has not started. It writes log lines to out. The
@@ -187,6 +192,7 @@
 		peerClients:     map[string]cellpb.Cell{},
 		proxyCandidates: map[string]proxyCandidate{},
 		httpClient:      newPeerHTTPClient(),
+		takeoverTimeout: defaultTakeoverTimeout,
 	}
 	n.metrics = newMetrics(func() float64 { return float64(n.replica.size()) })
 	n.panics = panicReporter{log: n.log, metrics: n.metrics}
@@ -200,6 +206,8 @@
 	n.ownershipCtx, n.cancelOwnership = context.WithCancel(context.Background())
 	n.jobsReader = n.newTopicReader(cell.TopicJobs, n.applyReadJobRecords)
 	n.progressReader = n.newTopicReader(cell.TopicProgress, n.applyProgressRecords)
+	n.jobsReader.knownKeys = n.replica.submissionKeys
+	n.progressReader.knownKeys = n.replica.progressKeys
 	n.configReader = n.newTopicReader(cell.TopicConfig, n.applyConfigRecords)
 	n.committer = newCommitter(n.commit, n.storeRouter.lastLatency, n.log, func() time.Duration { return time.Duration(n.jobsReader.lastReadAt.Load()) })
 	n.election = election.New(n.store, election.Options{
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -187,10 +187,11 @@
 	}
 	r.workerStartedAt = startedAt
 	r.isStopAcknowledged = false
+	r.hasMoved = true
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
 		r.phase = phaseRunning
-		m.stopRun(r)
+		m.stopWithGang(r, "worker of a member has restarted")
 	}
 }
 
@@ -445,6 +446,9 @@
 		// The start time of the new incarnation arrives with its entry in the
 		// store.
 		w.hasAnswered = false
+		if e.SentAt >= w.incarnationSeenAt {
+			m.closeReplacedRuns(w)
+		}
 	}
 	w.failedRenewals++
 	if w.failedRenewals == 3 {
@@ -452,6 +456,17 @@
 	}
 }
 
+// closeReplacedRuns closes the runs of a worker at whose address another worker answers: the
+// process that had them has ended. A run of an incarnation that is later than the listed one
+// may be at another address. handleFailedRenewal calls it.
+func (m *Machine) closeReplacedRuns(w *worker) {
+	for _, r := range slices.Clone(w.runList) {
+		if r.phase != phasePlanned && r.phase != phaseRecording && r.workerStartedAt <= w.info.Born {
+			m.closeRun(r, "lost: worker has been replaced")
+		}
+	}
+}
+
 // errText returns the text of an error for a log line, "" for nil.
 func errText(err error) string {
 	if err == nil {
@@ -492,7 +507,12 @@
 	}
 	for _, r := range slices.Clone(w.runList) {
 		key := runKey{r.taskName, r.number}
-		if !listed[key] && r.mustBeListed(sentAt) {
+		switch {
+		case listed[key] || !r.mustBeListed(sentAt):
+		case r.mayStartLate():
+			r.phase = phaseRunning // also of a run whose gang was expected to end
+			m.stopWithGang(r, "member not listed after a restart")
+		default:
 			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
 		}
