--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -326,6 +326,23 @@
 	}
 }
 
+// awaitNewestVersion waits until a VM has the newest configuration in force, and no route of
+// the version before.
+func (cs *callers) awaitNewestVersion(i int) {
+	version := cs.cluster.newestVersion()
+	isInForce := func(version int64, status int) bool {
+		resp, err := cs.call(i, http.MethodGet, versionPath(version), nil)
+		return err == nil && resp.status == status
+	}
+	for !isInForce(version, http.StatusOK) || !isInForce(version-1, http.StatusNotFound) {
+		if cs.isOverdue() {
+			cs.cluster.report("CONFIG", "%s does not have version %d in force %v after the faults", cs.cluster.vms[i].name, version, recoveryTimeout)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // watchVersions checks that no process of a VM goes back to an older configuration: the
 // route of a version exists only while that version is in force.
 func (cs *callers) watchVersions(i int, stop <-chan struct{}) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,6 +76,9 @@
 	cs.run(s.Traffic, s.JobsPerSecond)
 	faults.Wait()
 	recovery := max(0, time.Since(faultsEndedAt))
+	for i := range c.vms {
+		cs.awaitNewestVersion(i)
+	}
 	close(stop)
 	watchers.Wait()
 	return Result{
