Call workers with runs first after a takeover

Cause: a new owner calls at most 200 workers at a time for the first time, in the order of their ids, and reaches 540 to 900 of 3,000 in a second (trials on the scratch site of 298 VMs). Leases of runs on the last ones end meanwhile, 6 s after the former owner's last renewal, although worker and owner are well. Change: a tick calls the workers with recorded runs before the others. Measured: TestTakeoverCallsWorkersWithRunsFirst failed before: the first 200 calls went to idle workers while 200 others held runs.

--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -199,7 +199,8 @@
 
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
-// that are due and marks started jobs for recording. For each worker it
+// that are due and marks started jobs for recording. It calls workers with runs that
+// have not answered this owner. For each worker it
 // closes the runs of an expired lease, sends the next renewal, repeats
 // unanswered start and stop requests and removes the worker if it is unused.
 // It requests a scheduling cycle if steps are waiting, and advances the
@@ -207,6 +208,7 @@
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
+	m.contactWorkersWithRuns()
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
--- a/internal/cell/owner/scale_test.go
+++ b/internal/cell/owner/scale_test.go
@@ -131,3 +131,26 @@
 	}
 	is.Equal(f.m.firstContacts <= 1, true)
 }
+
+// TestTakeoverCallsWorkersWithRunsFirst guards against runs whose leases end although their
+// workers and the new owner are well: it reaches thousands of idle workers before them.
+func TestTakeoverCallsWorkersWithRunsFirst(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{t: t}
+	f.m = New(Options{Term: 3, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout}, f.time())
+	var open []cell.OpenRun
+	for i := range maxFirstContacts {
+		open = append(open, cell.OpenRun{Index: i, Run: 1, Worker: fmt.Sprintf("w%04d", 2999-i), Born: 1})
+	}
+	f.apply(JobSubmitted{Job: newJob("j", newStep(maxFirstContacts, 500)), Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{{LastRun: 1, OpenRuns: open}}}})
+	var listed WorkersListed
+	for i := range 3000 {
+		listed.Workers = append(listed.Workers, cell.Worker{ID: fmt.Sprintf("w%04d", i), Service: "s", Addr: "a:1", Born: 1})
+	}
+	f.apply(listed)
+	f.apply(Tick{})
+	for _, r := range actionsOf[Renew](f) {
+		is.True(len(f.m.workers[r.Renewal.Worker].runs) > 0)
+	}
+	is.Equal(len(actionsOf[Renew](f)), maxFirstContacts)
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -332,6 +332,18 @@
 // its successor.
 const maxFirstContacts = 200
 
+// contactWorkersWithRuns calls the workers with recorded runs that have not answered this
+// owner, before the others take the room that maxFirstContacts leaves: a new owner needs
+// seconds to reach 3,000 workers, and the leases of these runs end meanwhile. It runs on
+// each Tick.
+func (m *Machine) contactWorkersWithRuns() {
+	for _, w := range m.sortedWorkers {
+		if !w.hasAnswered && len(w.runs) > 0 {
+			m.renewIfDue(w)
+		}
+	}
+}
+
 // maxCursorAge is the age of the worker's last answer up to which a cursor is sent. A
 // worker that restarts in the meantime could forget finished runs that the owner has
 // not seen; within this time it cannot restart and finish a run.
