Spread the renewals of a large cell over two seconds

A burst of starts on top made the answers wait. Change: the wait time of a renewal grows with the number of workers so that waits end at most 1,500 times a second; not below the present 1.1 s and 1.5 s, and not above 2 s, the longest that workers wait. The longest lease of 6 s leaves time for another try. Up to 1,650 workers nothing changes. TestRenewalsOfALargeCellAreSpread failed before.

--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -47,6 +47,12 @@
 	// busyPollTimeout applies instead to a worker with runs, whose progress is
 	// monitored.
 	busyPollTimeout = 1100 * time.Millisecond
+	// maxPollTimeout is the longest time for which a worker delays its answer.
+	maxPollTimeout = 2 * time.Second
+	// pollsPerSecond is the rate of renewals above which idlePollTimeout and
+	// busyPollTimeout grow, up to maxPollTimeout. A renewal costs the owner 0.15 ms of
+	// processor time, so that 3,000 workers took half of its share.
+	pollsPerSecond = 1500
 	// renewalResponseTimeout is how late a worker's answer to a renewal may be
 	// before the worker gets no more starts.
 	renewalResponseTimeout = 600 * time.Millisecond
--- a/internal/cell/owner/scale_test.go
+++ b/internal/cell/owner/scale_test.go
@@ -154,3 +154,17 @@
 	}
 	is.Equal(len(actionsOf[Renew](f)), maxFirstContacts)
 }
+
+// TestRenewalsOfALargeCellAreSpread guards against an owner whose processor is taken by the
+// renewals of thousands of workers, so that answers wait and leases end. A small cell keeps
+// the shorter waits, within which stuck runs are seen.
+func TestRenewalsOfALargeCellAreSpread(t *testing.T) {
+	is := is.New(t)
+	for workers, want := range map[int]time.Duration{48: idlePollTimeout, 1300: idlePollTimeout, 3000: 2 * time.Second, 9000: 2 * time.Second} {
+		f := newLargeOwner(workers, 0)
+		w := f.m.sortedWorkers[0]
+		is.Equal(f.m.renewalPollTimeout(w), want)
+		w.addRun(&run{taskName: "a", phase: phaseRunning, worker: w})
+		is.Equal(f.m.renewalPollTimeout(w), max(busyPollTimeout, min(want, time.Duration(workers)*time.Second/pollsPerSecond)))
+	}
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -214,7 +214,7 @@
 
 // isUnresponsive reports whether a worker's answer to a renewal is overdue.
 func (m *Machine) isUnresponsive(w *worker) bool {
-	return m.now.Mono-w.lastSeen > idlePollTimeout+renewalResponseTimeout
+	return m.now.Mono-w.lastSeen > m.pollTimeout(idlePollTimeout)+renewalResponseTimeout
 }
 
 // isUsable reports whether a worker may get new tasks.
@@ -382,9 +382,17 @@
 		return mixedPollTimeout
 	}
 	if len(w.runs) > 0 {
-		return busyPollTimeout
+		return m.pollTimeout(busyPollTimeout)
 	}
-	return idlePollTimeout
+	return m.pollTimeout(idlePollTimeout)
+}
+
+// pollTimeout returns how long workers may delay their answers to a renewal so that all
+// workers together cause at most pollsPerSecond renewals while no run finishes; at least
+// shortest. maxPollTimeout leaves time for another try within the longest lease.
+func (m *Machine) pollTimeout(shortest time.Duration) time.Duration {
+	spread := time.Duration(len(m.sortedWorkers)) * time.Second / pollsPerSecond
+	return max(shortest, min(spread, maxPollTimeout))
 }
 
 // extendLease returns the lease end to send with a renewal or a start
