Spread the hello messages of the smaller VMs of a large cell

Cause: each VM sends the owner four hello messages a second, 1,100 with 298 VMs, about 0.1 ms of its processor each, and most of them come from VMs that replace the owner only if no follower is left. Change: VMs that are no followers send 400 a second together, each at least one; the time for which an answer counts follows the interval. While the owner does not answer they send four a second as before. Up to 100 VMs nothing changes. The list of known VMs holds 2,048 instead of 256.

--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -21,14 +21,19 @@
 	helloInterval = 250 * time.Millisecond
 	// helloTimeout bounds a hello message and its answer.
 	helloTimeout = 200 * time.Millisecond
-	// ownerReplyTTL is how long an answer of the owner counts; one hello message
-	// may be lost.
-	ownerReplyTTL = 2*helloInterval + 50*time.Millisecond
+	// hellosPerSecond is the rate of hello messages of VMs that are no followers, above
+	// which their interval grows, up to maxHelloInterval: each message costs the owner 0.1
+	// ms of processor time. Followers, which replace the owner, keep to helloInterval.
+	hellosPerSecond  = 400
+	maxHelloInterval = time.Second
+	// helloReplySlack is added to two intervals to get the time for which an answer of
+	// the owner counts; one hello message may be lost.
+	helloReplySlack = 50 * time.Millisecond
 	// pendingCountsInterval is how often a VM that does not know all jobs asks
 	// for the counts of pending jobs, which may be 2 s old.
 	pendingCountsInterval = 800 * time.Millisecond
 	// maxKnownPeers bounds the VMs that are remembered and reported to others.
-	maxKnownPeers = 256
+	maxKnownPeers = 2048
 )
 
 // ownerReply is the owner's last answer to a hello message.
@@ -54,13 +59,28 @@
 	return n.peer(r.Addr)
 }
 
+// currentHelloInterval returns the time between two hello messages to an owner that
+// answers them.
+func (n *Node) currentHelloInterval() time.Duration {
+	if isFollower(n.settings) {
+		return helloInterval
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	spread := time.Duration(len(n.peerAddrs)) * time.Second / hellosPerSecond
+	return max(helloInterval, min(spread, maxHelloInterval))
+}
+
+// ownerReplyTTL returns how long an answer of the owner to a hello message counts.
+func (n *Node) ownerReplyTTL() time.Duration { return 2*n.currentHelloInterval() + helloReplySlack }
+
 // responsiveOwner returns the client of the owner if it answered within
 // ownerReplyTTL, else nil. commit calls it for each batch and while it waits
 // for the owner, and the store router when it needs store proxies.
 func (n *Node) responsiveOwner() cellpb.Cell {
 	reply := n.ownerReply.Load()
 	r := n.ownerRecord.Load()
-	if reply == nil || r == nil || r.Instance != reply.instance || reply.hasMissedHello || bootTime()-reply.receivedAt > ownerReplyTTL {
+	if reply == nil || r == nil || r.Instance != reply.instance || reply.hasMissedHello || bootTime()-reply.receivedAt > n.ownerReplyTTL() {
 		return nil
 	}
 	return n.ownerClient()
@@ -87,7 +107,7 @@
 		return election.OwnerStatus{}
 	}
 	age := bootTime() - reply.receivedAt
-	isFresh := age <= ownerReplyTTL && !reply.hasMissedHello
+	isFresh := age <= n.ownerReplyTTL() && !reply.hasMissedHello
 	if isFresh && !reply.isHealthy {
 		// The owner runs and retries heartbeats that the store does not accept.
 		// Without a status, the election waits the full HeartbeatTimeout for one: the
@@ -139,15 +159,21 @@
 // its own goroutine; it sends nothing while activeLoop returns a control loop.
 func (n *Node) sendHellos(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		if n.activeLoop() == nil && !n.helloOwner(ctx) {
+		interval := helloInterval
+		switch {
+		case n.activeLoop() != nil:
+		case n.helloOwner(ctx):
+			interval = n.currentHelloInterval()
+		default:
 			n.helloNextPeer(ctx, round)
 		}
-		sleep(ctx, helloInterval)
+		sleep(ctx, interval)
 	}
 }
 
 // helloOwner sends a hello message to the owner and reports whether the owner
-// answered it. The hello loop calls it every helloInterval. If the owner's
+// answered it. The hello loop calls it every currentHelloInterval, and every helloInterval
+// while the owner does not answer. If the owner's
 // process has evidently ended, it reports that to the election.
 func (n *Node) helloOwner(ctx context.Context) bool {
 	record := n.ownerRecord.Load()
--- a/internal/cell/node/proxyselection.go
+++ b/internal/cell/node/proxyselection.go
@@ -17,7 +17,7 @@
 	// message.
 	maxAdvertisedProxies = 4
 	// proxyCandidateTTL is how long a hello message counts; one may be lost.
-	proxyCandidateTTL = ownerReplyTTL
+	proxyCandidateTTL = 2*maxHelloInterval + helloReplySlack
 )
 
 // proxyCandidate is a VM that reported that the store answers it.
