Call each worker once after a takeover before failed calls are repeated

After a takeover, 600 silent workers with runs kept a new owner from calling any of 500 others for 3 s: at most 200 workers are called at a time for the first time, and those that did not answer were called again 0.15 s after each failure, before the others. A cut data centre is such a case.

Workers that this owner has not called yet now come first, those with runs before the others; failed calls are repeated with the room that is left.

--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -205,16 +205,15 @@
 
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
-// that are due and marks started jobs for recording. It calls workers with runs that
-// have not answered this owner. For each worker it
-// closes the runs of an expired lease, sends the next renewal, repeats
-// unanswered start and stop requests and removes the worker if it is unused.
-// It requests a scheduling cycle if steps are waiting, and advances the
-// cursors of all workers if nothing waits to be recorded.
+// that are due and marks started jobs for recording. It calls workers that this owner
+// has not called yet before it repeats failed calls. For each worker it closes the runs
+// of an expired lease, sends the next renewal, repeats unanswered start and stop requests
+// and removes the worker if it is unused. It requests a scheduling cycle if steps are
+// waiting, and advances the cursors of all workers if nothing waits to be recorded.
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
-	m.contactWorkersWithRuns()
+	m.contactNewWorkers()
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -333,14 +333,16 @@
 // its successor.
 const maxFirstContacts = 200
 
-// contactWorkersWithRuns calls the workers with recorded runs that have not answered this
-// owner, before the others take the room that maxFirstContacts leaves: a new owner needs
-// seconds to reach 3,000 workers, and the leases of these runs end meanwhile. It runs on
-// each Tick.
-func (m *Machine) contactWorkersWithRuns() {
-	for _, w := range m.sortedWorkers {
-		if !w.hasAnswered && len(w.runs) > 0 {
-			m.renewIfDue(w)
+// contactNewWorkers calls the workers that this owner has not called yet, those with recorded
+// runs first, before the ones that did not answer take the room that maxFirstContacts leaves: a
+// new owner needs seconds to reach 3,000 workers, and the leases of these runs end meanwhile. It
+// runs on each Tick.
+func (m *Machine) contactNewWorkers() {
+	for _, hasRuns := range []bool{true, false} {
+		for _, w := range m.sortedWorkers {
+			if !w.hasAnswered && w.failedRenewals == 0 && len(w.runs) > 0 == hasRuns {
+				m.renewIfDue(w)
+			}
 		}
 	}
 }
