Wait out the lease of the former owner at a worker that answered only once

Cause: after the first answer of a worker leaseEnd is 0 until this owner extends the lease. An owner that the store has not answered for 5 s extends nothing, so that a worker that fell silent then counted as expired at once, while the lease that the former owner had left could last for 6 s. Its tasks started elsewhere as soon as the store was back.

Change: the first answer sets the latest lease that a former owner may have left, the clock of the answer plus the longest lease; expiry counts from the later of the two.

--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -28,6 +28,9 @@
 	clockReadAt time.Duration
 	// leaseEnd is the latest lease end that was sent, on the worker's clock.
 	leaseEnd time.Duration
+	// formerLeaseEnd is the latest lease end that a former owner may have left, on the
+	// worker's clock.
+	formerLeaseEnd time.Duration
 
 	isRenewalInFlight bool
 	// isFirstContact is true while the renewal in flight counts in
@@ -163,7 +166,7 @@
 	w.info.Born = startedAt
 	w.hasAnswered = false
 	// The longest lease that the new incarnation may have granted begins now.
-	w.clockReadAt, w.clock, w.leaseEnd = m.now.Mono, 0, 0
+	w.clockReadAt, w.clock, w.leaseEnd, w.formerLeaseEnd = m.now.Mono, 0, 0, 0
 	w.processedCursor, w.recordedCursor, w.acceptedCursor, w.cursorInFlight = 0, 0, 0, 0
 	w.unknownRuns = 0
 	w.nextRenewalAt = m.now.Mono
@@ -237,7 +240,7 @@
 		return m.now.Mono-m.lastRenewalAt(w) > longestLease
 	}
 	elapsed := float64(m.now.Mono-w.clockReadAt-leaseMargin) * minClockRate
-	return w.clock+time.Duration(elapsed) > w.leaseEnd
+	return w.clock+time.Duration(elapsed) > max(w.leaseEnd, w.formerLeaseEnd)
 }
 
 // lastRenewalAt returns the latest time at which the lease of a worker that has not
@@ -425,6 +428,7 @@
 	w.failedRenewals = 0
 	if !w.hasAnswered {
 		w.hasAnswered = true
+		w.formerLeaseEnd = inv.Clock + m.opts.LeaseLimit
 		m.isCycleNeeded = true
 	}
 	m.reconcile(w, e.SentAt, inv)
