Record until when the lease of a worker that does not answer can last

Callers saw: jobs whose workers were lost before a change of the owner had nothing running for 11.3 s after it, and again after each further change (LOST, placed-again-at-the-end).

Cause: a successor knows of no lease of a worker that it cannot reach, so it waits for the longest one that a silent owner could have granted: 5 s of authority and 6.3 s of lease. The record had no end of a lost worker's lease.

Change: a heartbeat names the workers with runs that have not answered three renewals, with the time for which their leases can last at most, whoever granted them. The owner extends such a lease, and starts tasks there, only after the store has accepted a heartbeat that does not name the worker. Heartbeats and claims are appended on condition of the topic's end, so that the last record of the former owner is the one before the claim; a successor waits no longer than that record says, counted from when it heard of it, and repeats the bounds in its own heartbeats. A claim names no worker and a record without the field says nothing, so a previous build between two owners makes the bounds unknown. A bound holds for one incarnation. During an outage no further worker is named, since its lease could not be extended until the store is back.

Its check of ends now follows the platform's definition: an end is taken note of when the cursor reaches it, unless the lease lapsed between the two.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -69,6 +69,9 @@
 	// FormerRenewalsMS is for how many milliseconds after this record was sent an owner
 	// of an earlier term may renew leases: 0 if that is not known, else at least 1.
 	FormerRenewalsMS int64 `json:"f,omitempty"`
+	// Leases bounds the leases of the workers that do not answer the owner; nil if that
+	// is not known.
+	Leases *Leases `json:"l,omitempty"`
 }
 
 // Options are the identity of this VM and the callbacks of an Election. The
@@ -93,6 +96,11 @@
 	// clock of Now, is when the call was sent that shows it: the process may have been
 	// paused since.
 	OnHeartbeat func(sentAt time.Duration)
+	// Leases returns what the next heartbeat records about leases and the version of
+	// it, or nil to repeat what FindFormerRenewalsEnd has read. OnLeases is called with
+	// the version when the store has accepted it. Both may be nil.
+	Leases   func() (bounds []LeaseBound, version int64)
+	OnLeases func(version int64)
 	// Log writes a message with key-value pairs to the log.
 	Log func(message string, details ...any)
 }
@@ -138,6 +146,8 @@
 	// formerRenewalsEnd is until when an owner of an earlier term may renew leases, on
 	// the clock of Options.Now; 0 if that is not known.
 	formerRenewalsEnd atomic.Int64
+	// formerLeases are the bounds that the former owner recorded, nil if not known.
+	formerLeases atomic.Pointer[[]LeaseBound]
 	// suspects receives the instance of an owner whose process is reported to have
 	// ended.
 	suspects chan string
@@ -436,8 +446,9 @@
 // calls it once the owner is down and no other VM has claimed the cell.
 func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
 	rec := OwnerRecord{Term: max(e.lastRecord.Term, e.nextOffset) + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
-	e.former = formerOwner{record: e.lastRecord, hasEnded: e.isKnownToHaveEnded(e.lastRecord), lastOffset: e.nextOffset - 1}
+	e.former = formerOwner{record: e.lastRecord, hasEnded: e.isKnownToHaveEnded(e.lastRecord), lastOffset: e.nextOffset - 1, knownAt: e.lastRecordKnownAt()}
 	e.formerRenewalsEnd.Store(0)
+	e.formerLeases.Store(nil)
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	var conflict *cell.ConflictError
@@ -531,12 +542,17 @@
 // earlier heartbeat of this VM whose answer was lost; that one then counts as accepted.
 func (e *Election) writeHeartbeat(ctx context.Context) error {
 	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, FormerRenewalsMS: e.formerRenewalsMS()}
+	var leasesVersion int64
+	rec.Leases, leasesVersion = e.leases()
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	if err == nil {
 		e.nextOffset = end
 		e.heartbeatOffset.Store(end)
 		e.opts.OnHeartbeat(sentAt)
+		if e.opts.OnLeases != nil && leasesVersion > 0 {
+			e.opts.OnLeases(leasesVersion)
+		}
 		return nil
 	}
 	var conflict *cell.ConflictError
--- a/internal/cell/election/former.go
+++ b/internal/cell/election/former.go
@@ -16,6 +16,9 @@
 	hasEnded bool
 	// lastOffset is the offset of its last record, which is the one before the claim.
 	lastOffset int64
+	// knownAt is a time, on the clock of Options.Now, at which that record was in the
+	// store already.
+	knownAt time.Duration
 }
 
 // isKnownToHaveEnded reports whether the ownership that wrote a record has certainly ended,
@@ -38,13 +41,27 @@
 // last record says when the others have.
 func (e *Election) FindFormerRenewalsEnd(ctx context.Context, fencedAt, authority time.Duration) time.Duration {
 	end := fencedAt + authority
+	last, ok := e.readFormerRecord(ctx)
+	if ok && last.Leases != nil {
+		bounds := last.Leases.bounds(e.former.knownAt)
+		e.formerLeases.Store(&bounds)
+	}
 	if e.former.hasEnded {
-		end = min(end, e.earlierRenewalsEnd(ctx, fencedAt, end))
+		end = min(end, e.earlierRenewalsEnd(last, ok, fencedAt, end))
 	}
 	e.formerRenewalsEnd.Store(max(1, int64(end)))
 	return end
 }
 
+// FormerLeases returns the bounds that the former owner recorded. Package node calls it
+// after FindFormerRenewalsEnd.
+func (e *Election) FormerLeases() []LeaseBound {
+	if bounds := e.formerLeases.Load(); bounds != nil {
+		return *bounds
+	}
+	return nil
+}
+
 // FormerOwner returns the address and the instance of the owner before this VM's last
 // claim if it may still renew leases, else "". Package node calls it after a takeover.
 func (e *Election) FormerOwner() (addr, instance string) {
@@ -59,28 +76,37 @@
 // FindFormerRenewalsEnd in the same term.
 func (e *Election) FormerOwnerEnded(ctx context.Context) time.Duration {
 	end := time.Duration(e.formerRenewalsEnd.Load())
-	end = min(end, e.earlierRenewalsEnd(ctx, e.opts.Now(), end))
+	last, ok := e.readFormerRecord(ctx)
+	end = min(end, e.earlierRenewalsEnd(last, ok, e.opts.Now(), end))
 	e.formerRenewalsEnd.Store(int64(end))
 	return end
 }
 
 // earlierRenewalsEnd returns until when owners before the former one may renew leases:
 // at least endedAt, when that one had ended, or unknown if its last record does not say
-// it or cannot be read. FindFormerRenewalsEnd and FormerOwnerEnded call it.
-func (e *Election) earlierRenewalsEnd(ctx context.Context, endedAt, unknown time.Duration) time.Duration {
+// it or was not read. FindFormerRenewalsEnd and FormerOwnerEnded call it.
+func (e *Election) earlierRenewalsEnd(last OwnerRecord, isRead bool, endedAt, unknown time.Duration) time.Duration {
 	if e.former.record.Term == 0 {
 		return endedAt
 	}
+	if !isRead || last.FormerRenewalsMS <= 0 {
+		return unknown
+	}
+	return max(endedAt, e.opts.Now()+time.Duration(last.FormerRenewalsMS)*time.Millisecond)
+}
+
+// readFormerRecord reads the last record of the former owner, the one before the claim.
+// FindFormerRenewalsEnd and FormerOwnerEnded call it.
+func (e *Election) readFormerRecord(ctx context.Context) (last OwnerRecord, ok bool) {
+	if e.former.record.Term == 0 {
+		return last, false
+	}
 	batch, err := e.store.Read(ctx, cell.TopicOwner, e.former.lastOffset, 0)
 	if err != nil || len(batch.Records) == 0 {
-		return unknown
+		return last, false
 	}
-	var last OwnerRecord
 	err = json.Unmarshal(batch.Records[0].Value, &last)
-	if err != nil || last.Term != e.former.record.Term || last.Instance != e.former.record.Instance || last.FormerRenewalsMS <= 0 {
-		return unknown
-	}
-	return max(endedAt, e.opts.Now()+time.Duration(last.FormerRenewalsMS)*time.Millisecond)
+	return last, err == nil && last.Term == e.former.record.Term && last.Instance == e.former.record.Instance
 }
 
 // formerRenewalsMS returns the value of OwnerRecord.FormerRenewalsMS for a record that
--- a/internal/cell/election/resign.go
+++ b/internal/cell/election/resign.go
@@ -17,6 +17,7 @@
 		return e.deposedError()
 	}
 	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, Resigned: true, FormerRenewalsMS: e.formerRenewalsMS()}
+	rec.Leases, _ = e.leases()
 	err := e.appendResignation(ctx, rec)
 	var conflict *cell.ConflictError
 	if !errors.As(err, &conflict) {
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -216,6 +216,7 @@
 			c.updateFollower(h)
 		case <-ticker.C:
 			c.apply(ctx, owner.Tick{})
+			c.node.leaseStatement.Store(c.machine.LeaseStatement())
 			c.checkIsolation()
 			c.deleteFinishedSubmissions(ctx)
 			c.logLoad()
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -59,6 +59,7 @@
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
+	"gypsumwinch/internal/cell/owner"
 	"gypsumwinch/internal/structs"
 )
 
@@ -130,7 +131,10 @@
 
 	// ownerRecord is the newest owner record that this VM has received.
 	ownerRecord atomic.Pointer[election.OwnerRecord]
-	mu          sync.Mutex
+	// leaseStatement is what heartbeats of this VM record about the leases of workers
+	// that do not answer; nil while it is not the owner and during its takeover.
+	leaseStatement atomic.Pointer[owner.LeaseStatement]
+	mu             sync.Mutex
 	// loop is the control loop while this VM owns the cell. Guarded by mu.
 	loop *controlLoop
 	// peerClients are the clients of other VMs, by address. Guarded by mu.
@@ -212,6 +216,8 @@
 		StoreLatency: n.storeRouter.lastLatency,
 		OnRecord:     n.setOwnerFromStore,
 		OnHeartbeat:  n.heartbeatAccepted,
+		Leases:       n.statedLeases,
+		OnLeases:     n.leaseStatementAccepted,
 		Log:          func(message string, details ...any) { n.log.Info(message, details...) },
 	})
 	return n
@@ -502,7 +508,7 @@
 // of Campaign or of SendHeartbeats.
 func (n *Node) setOwnerFromStore(r election.OwnerRecord) {
 	// Other VMs do not report it, and records are compared with theirs.
-	r.FormerRenewalsMS = 0
+	r.FormerRenewalsMS, r.Leases = 0, nil
 	old := n.ownerRecord.Swap(&r)
 	if old == nil || old.Term != r.Term || old.Resigned != r.Resigned {
 		n.log.Info("owner of the cell", "owner", r.Node, "term", r.Term, "resigned", r.Resigned)
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -56,6 +56,7 @@
 	defer n.holdsTerm.Store(false)
 	n.replica.setKept(true)
 	defer n.replica.setKept(false)
+	n.leaseStatement.Store(nil)
 	c := newControlLoop(n, term)
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -146,7 +147,7 @@
 		}
 	}
 	formerRenewals.Wait()
-	c.machine.Apply(eventTime(), owner.FormerOwnersFenced{RenewalsEnd: renewalsEnd})
+	c.machine.Apply(eventTime(), owner.FormerOwnersFenced{RenewalsEnd: renewalsEnd, Bounds: n.formerLeaseBounds()})
 	c.loadState()
 	return nil
 }
--- a/internal/cell/owner/events.go
+++ b/internal/cell/owner/events.go
@@ -124,8 +124,15 @@
 type FormerOwnersFenced struct {
 	// RenewalsEnd is on the clock of Time.Mono.
 	RenewalsEnd time.Duration
+	// Bounds are the bounds that the former owner recorded; nil leaves earlier ones as
+	// they are.
+	Bounds []LeaseBound
 }
 
+// LeaseStatementStored reports that the store accepted a heartbeat with a statement of
+// LeaseStatement.
+type LeaseStatementStored struct{ Version int64 }
+
 // HeartbeatStored reports that the store accepted a heartbeat of this owner, or a
 // batch of its term.
 type HeartbeatStored struct {
@@ -136,19 +143,20 @@
 // Tick reports that time has passed.
 type Tick struct{}
 
-func (JobSubmitted) event()       {}
-func (JobCancelled) event()       {}
-func (ConfigChanged) event()      {}
-func (WorkersListed) event()      {}
-func (RenewResult) event()        {}
-func (StartResult) event()        {}
-func (StopResult) event()         {}
-func (PaceResult) event()         {}
-func (AdviceResult) event()       {}
-func (BatchStored) event()        {}
-func (HeartbeatStored) event()    {}
-func (FormerOwnersFenced) event() {}
-func (Tick) event()               {}
+func (JobSubmitted) event()         {}
+func (JobCancelled) event()         {}
+func (ConfigChanged) event()        {}
+func (WorkersListed) event()        {}
+func (RenewResult) event()          {}
+func (StartResult) event()          {}
+func (StopResult) event()           {}
+func (PaceResult) event()           {}
+func (AdviceResult) event()         {}
+func (BatchStored) event()          {}
+func (HeartbeatStored) event()      {}
+func (LeaseStatementStored) event() {}
+func (FormerOwnersFenced) event()   {}
+func (Tick) event()                 {}
 
 // Action is an output of the Machine.
 type Action interface{ action() }
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -82,6 +82,15 @@
 	storeReachedAt time.Duration
 	// formerRenewalsEnd is until when a former owner may renew leases.
 	formerRenewalsEnd time.Duration
+	// formerBounds are the bounds that the former owner recorded, by worker id.
+	formerBounds map[string]LeaseBound
+	// leaseStatement is the present statement, nil before the first Tick.
+	leaseStatement *LeaseStatement
+	// haveBoundsChanged is true if bounds may be lower than those of leaseStatement.
+	haveBoundsChanged bool
+	// removedStated is statedInVersion of the workers that were removed while their
+	// lease was stated, by id.
+	removedStated map[string]int64
 
 	dirtyJobs map[cell.JobID]*job
 	// startedJobs are the jobs whose first task has started since
@@ -126,6 +135,8 @@
 		dirtyJobs:      map[cell.JobID]*job{},
 		startedJobs:    map[cell.JobID]*job{},
 		pendingBatches: map[int]*batch{},
+		formerBounds:   map[string]LeaseBound{},
+		removedStated:  map[string]int64{},
 	}
 }
 
@@ -159,6 +170,9 @@
 		m.storeReachedAt = max(m.storeReachedAt, e.SentAt)
 	case FormerOwnersFenced:
 		m.formerRenewalsEnd = e.RenewalsEnd
+		m.keepFormerBounds(e.Bounds)
+	case LeaseStatementStored:
+		m.handleLeaseStatementStored(e.Version)
 	case Tick:
 		m.tick()
 	}
@@ -207,6 +221,7 @@
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
+	m.updateLeaseStatement()
 	if len(m.waitingSteps) > 0 {
 		m.isCycleNeeded = true
 	}
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -25,6 +26,12 @@
 	maxSimStopDelay = 300 * time.Millisecond
 )
 
+var (
+	simSeeds = flag.Int("sim.seeds", 20, "seeds of each case of the simulation of faults")
+	simTrace = flag.Bool("sim.trace", false, "log the decisions of the owners in the simulation of faults")
+	simFirst = flag.Int("sim.first", 0, "first seed of the simulation of faults")
+)
+
 var errNoAnswer = errors.New("no answer")
 
 type simEvent struct {
@@ -70,6 +77,15 @@
 	// under its id, of which the owner learns late. Requests that are not
 	// delayed reach whichever incarnation runs when they arrive.
 	restartInterval time.Duration
+	// silentInterval is the mean time between two silent owners: the owner is cut off
+	// from the store, keeps a part of the workers for itself, and is replaced.
+	silentInterval time.Duration
+	// maxPartitionTime is how long a worker is cut off, from 2 s on; 0 means 4 s.
+	maxPartitionTime time.Duration
+	// runTime is the mean run time of a task; 0 means a random one of up to 3 s.
+	runTime time.Duration
+	// slowClocks makes the workers' clocks up to 2 % slow.
+	slowClocks bool
 }
 
 // reaches reports whether a request that was sent to an incarnation of a worker and
@@ -94,8 +110,10 @@
 	progress    map[cell.JobID][]byte
 	cancelledAt map[cell.JobID]time.Duration
 	isStoreDown bool
-	config      *cell.Config
-	stats       simStats
+	// record is the newest record of an owner in the store.
+	record simRecord
+	config *cell.Config
+	stats  simStats
 }
 
 type simStats struct {
@@ -113,6 +131,12 @@
 	isAlwaysFailing   bool
 }
 
+// simRecord is what a heartbeat records about the leases of workers that do not answer.
+type simRecord struct {
+	acceptedAt time.Duration
+	bounds     []LeaseBound
+}
+
 // simOwner is one term of an owner.
 type simOwner struct {
 	sim       *sim
@@ -120,6 +144,15 @@
 	term      int64
 	isStopped bool
 	isWriting bool
+	// isCut is true for an owner that reaches neither the store nor workers of another
+	// side.
+	isCut           bool
+	nextHeartbeatAt time.Duration
+}
+
+// reaches reports whether the network lets requests of the owner through to a worker.
+func (o *simOwner) reaches(w *simWorker) bool {
+	return w.isUp && !w.isPartitioned && (w.side == nil && !o.isCut || w.side == o)
 }
 
 type simRun struct {
@@ -133,10 +166,13 @@
 }
 
 type simWorker struct {
-	sim                *sim
-	info               cell.Worker
-	isUp               bool
-	isPartitioned      bool
+	sim           *sim
+	info          cell.Worker
+	isUp          bool
+	isPartitioned bool
+	// side is the only owner that reaches the worker, if any.
+	side               *simOwner
+	clockRate          float64
 	startedAt          time.Duration
 	token              int64
 	leaseEnd           time.Duration
@@ -145,6 +181,10 @@
 	finishedRuns       []cell.FinishedRun
 	lastFinishedNumber int64
 	incarnation        int
+	// endedAt is when the finished runs ended, by number; lapsedAt is the last time at
+	// which the lease was over.
+	endedAt  map[int64]time.Duration
+	lapsedAt time.Duration
 }
 
 func newSim(t *testing.T, seed uint64, workers int, faults simFaults) *sim {
@@ -165,7 +205,10 @@
 			ID: id, Service: "desk", Addr: id, DataCentre: "a", Born: 1,
 			Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000},
 			Labels:   []string{"k", fmt.Sprintf("r%d", i/3)},
-		}, runs: map[string]*simRun{}, closedRuns: map[string]int{}}
+		}, runs: map[string]*simRun{}, closedRuns: map[string]int{}, clockRate: 1, endedAt: map[int64]time.Duration{}}
+		if faults.slowClocks {
+			s.workers[id].clockRate = minClockRate + (1-minClockRate)*s.rand.Float64()
+		}
 		s.workerIDs = append(s.workerIDs, id)
 	}
 	return s
@@ -197,7 +240,8 @@
 // takeOver replaces the owner by a new one that knows only the contents of the
 // store.
 func (s *sim) takeOver() {
-	if s.owner != nil {
+	isFormerSilent := s.owner != nil && s.owner.isCut
+	if s.owner != nil && !isFormerSilent {
 		s.owner.isStopped = true
 	}
 	s.term++
@@ -205,10 +249,18 @@
 	o := &simOwner{sim: s, term: s.term}
 	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
 	s.owner = o
-	if s.term%2 == 0 {
+	// The new owner knows when it last heard of the newest record.
+	heardAt := s.record.acceptedAt + time.Duration(s.rand.Int64N(int64(s.now-s.record.acceptedAt)+1))
+	for i := range s.record.bounds {
+		s.record.bounds[i].End += heardAt
+	}
+	fenced := FormerOwnersFenced{RenewalsEnd: s.now + AuthorityTimeout, Bounds: s.record.bounds}
+	if s.faults.silentInterval == 0 && s.term%2 == 0 {
 		// The new owner knows that the former ones have ended; otherwise they count as silent.
-		o.apply(FormerOwnersFenced{RenewalsEnd: s.now})
+		fenced.RenewalsEnd = s.now
 	}
+	o.apply(fenced)
+	s.record = recordOf(fenced.Bounds, s.now)
 	o.apply(ConfigChanged{Config: s.config})
 	for _, id := range s.sortedJobIDs() {
 		j := s.jobs[id]
@@ -258,10 +310,8 @@
 	if o.isStopped {
 		return
 	}
-	if !o.sim.isStoreDown {
-		o.apply(HeartbeatStored{SentAt: o.sim.now})
-	}
 	o.apply(Tick{})
+	o.sendHeartbeat()
 	o.perform(o.machine.Place(o.sim.time(), unlimitedAdvice))
 	o.flush()
 	o.sim.after(20*time.Millisecond, o.tick)
@@ -274,6 +324,39 @@
 	o.perform(o.machine.Apply(o.sim.time(), ev))
 }
 
+// recordOf returns the record of a heartbeat that is sent at a time.
+func recordOf(bounds []LeaseBound, sentAt time.Duration) simRecord {
+	r := simRecord{acceptedAt: sentAt}
+	for _, b := range bounds {
+		b.End -= sentAt
+		r.bounds = append(r.bounds, b)
+	}
+	return r
+}
+
+// sendHeartbeat appends a heartbeat if one is due. Its answer may be lost.
+func (o *simOwner) sendHeartbeat() {
+	s := o.sim
+	if s.now < o.nextHeartbeatAt {
+		return
+	}
+	o.nextHeartbeatAt = s.now + 250*time.Millisecond
+	sentAt := s.now
+	statement := o.machine.LeaseStatement()
+	record := recordOf(statement.Bounds, sentAt)
+	s.after(2*time.Millisecond+time.Duration(s.rand.IntN(40))*time.Millisecond, func() {
+		if o.isStopped || o.isCut || o != s.owner || s.isStoreDown {
+			return
+		}
+		s.record = record
+		s.record.acceptedAt = s.now
+		o.apply(HeartbeatStored{SentAt: sentAt})
+		if s.rand.Float64() >= s.faults.lostAnswerFraction {
+			o.apply(LeaseStatementStored{Version: statement.Version})
+		}
+	})
+}
+
 // flush writes a batch to the store, which refuses a deposed owner.
 func (o *simOwner) flush() {
 	if o.isWriting {
@@ -296,7 +379,7 @@
 		if o.isStopped {
 			return
 		}
-		if s.isStoreDown {
+		if s.isStoreDown || o.isCut {
 			o.write(records, number)
 			return
 		}
@@ -325,6 +408,10 @@
 			o.queryAdvice(a)
 		case Publish:
 			o.sim.checkPublished(a)
+		case LogDecision:
+			if *simTrace {
+				o.sim.t.Logf("%v owner %d: %s %s %v", o.sim.now, o.term, a.Subject, a.Message, a.Details)
+			}
 		case Resign:
 			o.sim.t.Logf("%v owner %d resigns: %s", o.sim.now, o.term, a.Reason)
 			o.isStopped = true
@@ -345,7 +432,7 @@
 	s := o.sim
 	incarnation := w.incarnation
 	timeout := func() { s.after(350*time.Millisecond, func() { answer(errNoAnswer) }) }
-	if !w.isUp || w.isPartitioned {
+	if !o.reaches(w) {
 		timeout()
 		return
 	}
@@ -368,7 +455,7 @@
 		return
 	}
 	s.after(s.delay(), func() {
-		if w.isPartitioned || !s.reaches(w, incarnation) {
+		if !o.reaches(w) || !s.reaches(w, incarnation) {
 			timeout()
 			return
 		}
@@ -402,7 +489,7 @@
 	sentAt := o.sim.now
 	var inv cell.Inventory
 	var refusal cell.Refusal
-	if w.isUp && !w.isPartitioned {
+	if o.reaches(w) {
 		// A worker applies the cursor when the renewal arrives, also if it then
 		// waits with its answer.
 		w.renew(r)
@@ -423,7 +510,7 @@
 			answer(errNoAnswer)
 			return
 		}
-		if o.sim.now >= until || len(w.finishedRuns) > 0 || !w.isUp || w.isPartitioned {
+		if o.sim.now >= until || len(w.finishedRuns) > 0 || !o.reaches(w) {
 			o.sendRequest(w, execute, answer)
 			return
 		}
@@ -549,8 +636,13 @@
 	s.repeat(s.faults.partitionInterval, trafficTime, func() {
 		w := s.randomWorker()
 		w.isPartitioned = true
-		s.after(4*time.Second, func() { w.isPartitioned = false })
+		length := 4 * time.Second
+		if s.faults.maxPartitionTime > 0 {
+			length = 2*time.Second + time.Duration(s.rand.Int64N(int64(s.faults.maxPartitionTime-2*time.Second)))
+		}
+		s.after(length, func() { w.isPartitioned = false })
 	})
+	s.repeat(s.faults.silentInterval, trafficTime, s.silenceOwner)
 	s.repeat(s.faults.takeoverInterval, trafficTime, func() {
 		s.owner.isStopped = true
 		s.after(800*time.Millisecond, s.takeOverIfStopped)
@@ -559,10 +651,34 @@
 		s.isStoreDown = true
 		s.after(2*time.Second, func() { s.isStoreDown = false })
 	})
-	s.runUntil(90 * time.Second)
+	s.runUntil(90*time.Second + 15*s.faults.runTime)
 	s.checkEnded()
 }
 
+// silenceOwner cuts the owner off from the store and the other owners, together with some
+// workers, until the cut ends seconds later. Another owner takes over meanwhile.
+func (s *sim) silenceOwner() {
+	o := s.owner
+	if o.isStopped || o.isCut {
+		return
+	}
+	o.isCut = true
+	var kept []*simWorker
+	for _, id := range s.workerIDs {
+		if w := s.workers[id]; w.side == nil && s.rand.Float64() < 0.4 {
+			w.side = o
+			kept = append(kept, w)
+		}
+	}
+	s.after(600*time.Millisecond+time.Duration(s.rand.IntN(900))*time.Millisecond, s.takeOver)
+	s.after(2*time.Second+time.Duration(s.rand.IntN(13000))*time.Millisecond, func() {
+		for _, w := range kept {
+			w.side = nil
+		}
+		o.isStopped = true
+	})
+}
+
 // checkEnded checks that every job is in a final state and no run is left.
 func (s *sim) checkEnded() {
 	for _, id := range s.sortedJobIDs() {
@@ -597,13 +713,23 @@
 		{"outages", simFaults{outageInterval: 5 * time.Second, takeoverInterval: 7 * time.Second}},
 		{"all", simFaults{lostAnswerFraction: 0.05, delayedRequestFraction: 0.02, failedRunFraction: 0.05, crashInterval: 5 * time.Second,
 			partitionInterval: 6 * time.Second, takeoverInterval: 6 * time.Second, outageInterval: 9 * time.Second, cancelFraction: 0.1}},
+		{"silent owners", simFaults{silentInterval: 4 * time.Second, partitionInterval: 1200 * time.Millisecond, maxPartitionTime: 9 * time.Second,
+			runTime: 10 * time.Second, slowClocks: true}},
+		{"silent owners, late orders, restarts", simFaults{silentInterval: 4 * time.Second, partitionInterval: 1200 * time.Millisecond, maxPartitionTime: 9 * time.Second,
+			runTime: 10 * time.Second, slowClocks: true, lostAnswerFraction: 0.05, delayedRequestFraction: 0.05, restartInterval: 2 * time.Second}},
+		{"silent owners, outages", simFaults{silentInterval: 5 * time.Second, partitionInterval: 1200 * time.Millisecond, maxPartitionTime: 9 * time.Second,
+			runTime: 10 * time.Second, slowClocks: true, lostAnswerFraction: 0.05, outageInterval: 4 * time.Second}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			for seed := range uint64(20) {
+			for seed := uint64(*simFirst); seed < uint64(*simFirst+*simSeeds); seed++ {
 				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 					s := newSim(t, seed, 9, c.faults)
-					s.runScenario(120)
+					jobs := 120
+					if c.faults.runTime > 0 {
+						jobs = 40
+					}
+					s.runScenario(jobs)
 					t.Logf("%+v", s.stats)
 				})
 			}
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -9,7 +9,9 @@
 
 // The simulated workers, and the invariants that are checked at each start.
 
-func (w *simWorker) clock() time.Duration { return w.sim.now - w.startedAt }
+func (w *simWorker) clock() time.Duration {
+	return time.Duration(w.clockRate * float64(w.sim.now-w.startedAt))
+}
 
 func (w *simWorker) used() structs.Resources {
 	var sum structs.Resources
@@ -45,6 +47,9 @@
 	s.checkStart(w, req, j, step)
 	run := &simRun{task: task, id: req.Task, run: req.Run, need: step.Need, isGang: step.Gang, state: "running"}
 	runTime := time.Duration(float64(step.Estimate) * (0.3 + 1.4*s.rand.Float64()))
+	if s.faults.runTime > 0 {
+		runTime = time.Duration((0.3 + 1.4*s.rand.Float64()) * float64(s.faults.runTime))
+	}
 	run.endsAt = s.now + runTime
 	w.runs[task] = run
 	s.stats.starts++
@@ -178,6 +183,7 @@
 	w.closedRuns[r.task] = max(w.closedRuns[r.task], r.run)
 	w.lastFinishedNumber++
 	w.finishedRuns = append(w.finishedRuns, cell.FinishedRun{Number: w.lastFinishedNumber, Task: r.task, Run: r.run, Outcome: outcome})
+	w.endedAt[w.lastFinishedNumber] = s.now
 	j := s.jobs[r.id.Job]
 	switch outcome {
 	case cell.OutcomeDone:
@@ -239,12 +245,23 @@
 	w.acknowledge(r.Cursor)
 	inv := cell.Inventory{Clock: w.clock(), Born: w.info.Born}
 	for _, run := range sortedRuns(w) {
-		inv.ActiveRuns = append(inv.ActiveRuns, cell.ActiveRun{Task: run.task, Run: run.run, Percent: 50})
+		inv.ActiveRuns = append(inv.ActiveRuns, cell.ActiveRun{Task: run.task, Run: run.run, Percent: w.sim.percent()})
 	}
 	inv.FinishedRuns = append(inv.FinishedRuns, w.finishedRuns...)
 	return inv, cell.RefusedNone
 }
 
+// percent returns the progress of all runs, which moves if they take longer than the
+// owner waits for progress.
+func (s *sim) percent() int {
+	if s.faults.runTime == 0 {
+		return 50
+	}
+	return int(s.now/(100*time.Millisecond)) % 100
+}
+
+// acknowledge drops finished runs. As the platform defines it, an end is taken note of when
+// the cursor reaches it, unless the lease lapsed between the two.
 func (w *simWorker) acknowledge(cursor int64) {
 	remaining := w.finishedRuns[:0]
 	for _, e := range w.finishedRuns {
@@ -252,6 +269,9 @@
 			remaining = append(remaining, e)
 			continue
 		}
+		if w.lapsedAt > w.endedAt[e.Number] {
+			continue
+		}
 		id, err := cell.ParseTaskID(e.Task)
 		if err != nil {
 			w.sim.t.Fatal(err)
@@ -275,6 +295,7 @@
 // schedules its next call.
 func (w *simWorker) endExpiredRuns() {
 	if w.isUp && w.clock() >= w.leaseEnd {
+		w.lapsedAt = w.sim.now
 		for _, r := range sortedRuns(w) {
 			if w.runs[r.task] == r {
 				w.endRun(r, cell.OutcomeLeaseExpired)
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -31,6 +31,12 @@
 	// formerLeaseEnd is the latest lease end that a former owner may have left, on the
 	// worker's clock.
 	formerLeaseEnd time.Duration
+	// isLeaseNamed is true while the present LeaseStatement names the worker.
+	// isLeaseStated is true while a record in the store may name it, statedInVersion
+	// is the last statement that did.
+	isLeaseNamed    bool
+	isLeaseStated   bool
+	statedInVersion int64
 
 	isRenewalInFlight bool
 	// isFirstContact is true while the renewal in flight counts in
@@ -86,6 +92,7 @@
 func (m *Machine) addWorker(id string) *worker {
 	w := &worker{info: cell.Worker{ID: id}, runs: map[runKey]*run{}}
 	m.workers[id] = w
+	m.restoreStated(w)
 	index := sort.Search(len(m.sortedWorkers), func(i int) bool { return m.sortedWorkers[i].info.ID >= id })
 	m.sortedWorkers = append(m.sortedWorkers, nil)
 	copy(m.sortedWorkers[index+1:], m.sortedWorkers[index:])
@@ -206,6 +213,9 @@
 	if w.isFirstContact {
 		m.firstContacts--
 	}
+	if w.isLeaseStated {
+		m.removedStated[w.info.ID] = w.statedInVersion
+	}
 	delete(m.workers, w.info.ID)
 	for i, o := range m.sortedWorkers {
 		if o == w {
@@ -223,7 +233,7 @@
 // isUsable reports whether a worker may get new tasks.
 func (m *Machine) isUsable(w *worker) bool {
 	return w.isListed && w.hasAnswered && !w.info.Draining && w.unknownRuns == 0 &&
-		w.failedRenewals == 0 && !m.isUnresponsive(w) && m.now.Mono >= w.backoffUntil
+		w.failedRenewals == 0 && !w.isLeaseStated && !m.isUnresponsive(w) && m.now.Mono >= w.backoffUntil
 }
 
 // estimatedClock estimates the present reading of a worker's clock.
@@ -234,18 +244,11 @@
 // isLeaseExpired reports whether a worker's lease has certainly expired,
 // even on the slowest clock, so that no run of it exists any more.
 // closeExpiredRuns calls it.
-func (m *Machine) isLeaseExpired(w *worker) bool {
-	if !w.hasAnswered {
-		longestLease := time.Duration(float64(m.opts.LeaseLimit)/minClockRate) + leaseMargin
-		return m.now.Mono-m.lastRenewalAt(w) > longestLease
-	}
-	elapsed := float64(m.now.Mono-w.clockReadAt-leaseMargin) * minClockRate
-	return w.clock+time.Duration(elapsed) > max(w.leaseEnd, w.formerLeaseEnd)
-}
+func (m *Machine) isLeaseExpired(w *worker) bool { return m.now.Mono > m.leaseBound(w) }
 
 // lastRenewalAt returns the latest time at which the lease of a worker that has not
 // answered this owner may have been renewed: by a former owner or, if the worker has
-// restarted since, by a request that was under way. isLeaseExpired calls it.
+// restarted since, by a request that was under way. leaseBound calls it.
 func (m *Machine) lastRenewalAt(w *worker) time.Duration {
 	latest := max(m.formerRenewalsEnd, m.startedAt+lateRequestMargin)
 	if w.clockReadAt > m.startedAt {
@@ -379,14 +382,14 @@
 }
 
 // extendLease returns the lease end to send with a renewal or a start
-// request. It does not extend the lease of a worker that does not answer, or
-// if the store has not accepted a heartbeat of this owner for
-// AuthorityTimeout, so that the lease expires at a known time.
+// request. It does not extend the lease of a worker that does not answer, that
+// a recorded LeaseStatement may name, or if the store has not accepted a heartbeat
+// of this owner for AuthorityTimeout, so that the lease expires at a known time.
 func (m *Machine) extendLease(w *worker) time.Duration {
 	if !w.hasAnswered {
 		return 0
 	}
-	if w.failedRenewals > 0 || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
+	if w.failedRenewals > 0 || w.isLeaseStated || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
 		return w.leaseEnd
 	}
 	w.leaseEnd = max(w.leaseEnd, w.estimatedClock(m.now.Mono)+m.opts.LeaseLimit)
