Let a deposed owner prove that it renews no lease any more

Cause: a new owner took only another process at the former owner's address as proof of its end. An owner that was paused, wakes and learns that it is deposed is the same process, and counted as silent for the whole 5 s.

Change: the answer to a hello message says by offset -1 that the VM holds no term. It is set after the control loop has ended, so that no renewal is decided later; previous builds leave 0 there, which proves nothing, and ignore the field of a VM that is not the owner.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -162,9 +162,9 @@
 	})
 }
 
-// awaitFormerOwnersEnd asks at the address of the former owner which process answers there,
-// for as long as it may have authority. Another process proves that the former one has
-// ended; the claim may have followed a refused connection, before it was started.
+// awaitFormerOwnersEnd asks at the address of the former owner whether its ownership has
+// ended, for as long as it may have authority. The claim may have followed a refused
+// connection, before another process was started, or a pause of the former owner.
 // runOwnership calls it on its own goroutine after the takeover.
 func (n *Node) awaitFormerOwnersEnd(ctx context.Context, c *controlLoop) {
 	addr, instance := n.election.FormerOwner()
@@ -173,7 +173,7 @@
 	}
 	for deadline := bootTime() + owner.AuthorityTimeout; ctx.Err() == nil && bootTime() < deadline; sleep(ctx, helloInterval) {
 		resp, err := n.sendHello(ctx, n.peer(addr))
-		if err != nil || resp.Instance == instance {
+		if err != nil || !provesEnd(resp, instance) {
 			continue
 		}
 		c.post(ctx, owner.FormerOwnersFenced{RenewalsEnd: n.election.FormerOwnerEnded(ctx)})
@@ -181,6 +181,18 @@
 	}
 }
 
+// noTermOffset is HelloResponse.Offset of a VM that holds no term: it renews no lease.
+// Previous builds leave the field at 0.
+const noTermOffset = -1
+
+// provesEnd reports whether an answer to a hello message, from the address of a former owner,
+// proves that the ownership of an instance has ended: another process answers, or it
+// answers that it holds no term. An owner that was paused still renews leases until a
+// worker or the store refuses it.
+func provesEnd(resp *cellpb.HelloResponse, instance string) bool {
+	return resp.Instance != instance || resp.Offset == noTermOffset
+}
+
 // requireConfig fails while no configuration is known. It is the last step of
 // a takeover, which retries it after a failure.
 func (n *Node) requireConfig(context.Context) error {
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -143,6 +143,8 @@
 		// the loading.
 		resp.Well = n.hasRecentHeartbeat()
 		resp.Offset = n.election.HeartbeatOffset()
+	} else {
+		resp.Offset = noTermOffset
 	}
 	// Read after the offset: a later offset with an earlier term would skip records.
 	resp.Owner = n.ownerToProto()
