Let the allowance for late answers shrink again

Change: an answer after the wait time counts as one without delay. TestAllowanceIsThatOfTheDelayOnly failed before with its new case.

--- a/internal/cell/node/answerdelay.go
+++ b/internal/cell/node/answerdelay.go
@@ -33,11 +33,10 @@
 // observe records an answer to a renewal that was sent with a wait time and took the
 // given time. Answers before the end of the wait time say nothing. sendRenewal calls it.
 func (d *answerDelay) observe(wait, took time.Duration) {
-	delay := took - time.Duration(float64(wait)/slowestWorkerClock)
-	if wait > 0 && delay < 0 {
+	if took < wait {
 		return
 	}
-	delay = min(delay, maxAnswerDelay)
+	delay := max(0, min(took-time.Duration(float64(wait)/slowestWorkerClock), maxAnswerDelay))
 	for {
 		old := d.mean.Load()
 		if d.mean.CompareAndSwap(old, old+(int64(delay)-old)/answerDelayWeight) {
--- a/internal/cell/node/answerdelay_test.go
+++ b/internal/cell/node/answerdelay_test.go
@@ -69,4 +69,11 @@
 		d.observe(0, 4*time.Millisecond)
 	}
 	is.True(d.allowance() < 30*time.Millisecond)
+	for range 200 {
+		d.observe(0, 100*time.Millisecond)
+	}
+	for range 200 {
+		d.observe(1500*time.Millisecond, 1504*time.Millisecond) // exact clock
+	}
+	is.True(d.allowance() < 10*time.Millisecond)
 }
