--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -169,10 +169,15 @@
 	// proxyCandidates are the VMs that reported that the store answers them, by
 	// address. Guarded by mu.
 	proxyCandidates map[string]proxyCandidate
-	isDraining      atomic.Bool
+	// proxyList lists the usable ones of proxyCandidates; nil if it has to be built.
+	// Guarded by mu.
+	proxyList  *proxyList
+	isDraining atomic.Bool
 	// ownershipCtx ends when this VM may no longer own the cell.
 	ownershipCtx    context.Context
 	cancelOwnership context.CancelFunc
+	// takeoverTimeout bounds a takeover that fails; see defaultTakeoverTimeout.
+	takeoverTimeout time.Duration
 }
 
 // New returns a node that has not started. It writes log lines to out. The
@@ -187,6 +192,7 @@
 		peerClients:     map[string]cellpb.Cell{},
 		proxyCandidates: map[string]proxyCandidate{},
 		httpClient:      newPeerHTTPClient(),
+		takeoverTimeout: defaultTakeoverTimeout,
 	}
 	n.metrics = newMetrics(func() float64 { return float64(n.replica.size()) })
 	n.panics = panicReporter{log: n.log, metrics: n.metrics}
@@ -200,6 +206,8 @@
 	n.ownershipCtx, n.cancelOwnership = context.WithCancel(context.Background())
 	n.jobsReader = n.newTopicReader(cell.TopicJobs, n.applyReadJobRecords)
 	n.progressReader = n.newTopicReader(cell.TopicProgress, n.applyProgressRecords)
+	n.jobsReader.knownKeys = n.replica.submissionKeys
+	n.progressReader.knownKeys = n.replica.progressKeys
 	n.configReader = n.newTopicReader(cell.TopicConfig, n.applyConfigRecords)
 	n.committer = newCommitter(n.commit, n.storeRouter.lastLatency, n.log, func() time.Duration { return time.Duration(n.jobsReader.lastReadAt.Load()) })
 	n.election = election.New(n.store, election.Options{
@@ -270,12 +278,14 @@
 	return n.hasReadProgress() && bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
 }
 
-// hasReadProgress reports whether this VM has read topic progress since it loaded the
-// jobs. Before that it does not know a job that has ended and whose submission was
-// deleted before the load. The owner has read it in its takeover, after it had fenced
-// the former owner.
+// hasReadProgress reports whether this VM knows the states that were recorded before it
+// loaded the jobs. Otherwise it does not know a job that has ended and whose submission was
+// deleted before the load. A follower has read topic progress since the load. An owner
+// has recorded all states itself if it still owned the cell after the load: a heartbeat
+// that was sent later has been accepted. Without one it may have been deposed.
 func (n *Node) hasReadProgress() bool {
-	return n.activeLoop() != nil || n.progressReader.lastSentAt.Load() >= n.jobsReader.loadedAt.Load()
+	loadedAt := n.jobsReader.loadedAt.Load()
+	return n.progressReader.lastSentAt.Load() >= loadedAt || n.activeLoop() != nil && n.heartbeatAt.Load() >= loadedAt
 }
 
 // claimDelay returns how long a VM waits before it claims the cell. VMs with
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -47,6 +47,12 @@
 	// busyPollTimeout applies instead to a worker with runs, whose progress is
 	// monitored.
 	busyPollTimeout = 1100 * time.Millisecond
+	// maxPollTimeout is the longest time for which a worker delays its answer.
+	maxPollTimeout = 2 * time.Second
+	// pollsPerSecond is the rate of renewals above which idlePollTimeout and
+	// busyPollTimeout grow, up to maxPollTimeout. A renewal costs the owner 0.15 ms of
+	// processor time, so that 3,000 workers took half of its share.
+	pollsPerSecond = 1500
 	// renewalResponseTimeout is how late a worker's answer to a renewal may be
 	// before the worker gets no more starts.
 	renewalResponseTimeout = 600 * time.Millisecond
@@ -101,6 +107,9 @@
 	// firstContacts counts the renewals in flight to workers that have not answered
 	// this owner; see maxFirstContacts.
 	firstContacts int
+	// usableWorkers are those of sortedWorkers that may get new tasks in the current
+	// scheduling cycle.
+	usableWorkers []*worker
 	// candidates is reused by rateCandidates, waitingRuns by resendRequests.
 	candidates  []candidate
 	waitingRuns []*run
@@ -196,14 +205,15 @@
 
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
-// that are due and marks started jobs for recording. For each worker it
-// closes the runs of an expired lease, sends the next renewal, repeats
-// unanswered start and stop requests and removes the worker if it is unused.
-// It requests a scheduling cycle if steps are waiting, and advances the
-// cursors of all workers if nothing waits to be recorded.
+// that are due and marks started jobs for recording. It calls workers that this owner
+// has not called yet before it repeats failed calls. For each worker it closes the runs
+// of an expired lease, sends the next renewal, repeats unanswered start and stop requests
+// and removes the worker if it is unused. It requests a scheduling cycle if steps are
+// waiting, and advances the cursors of all workers if nothing waits to be recorded.
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
+	m.contactNewWorkers()
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -187,10 +187,11 @@
 	}
 	r.workerStartedAt = startedAt
 	r.isStopAcknowledged = false
+	r.hasMoved = true
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
 		r.phase = phaseRunning
-		m.stopRun(r)
+		m.stopWithGang(r, "worker of a member has restarted")
 	}
 }
 
@@ -214,7 +215,7 @@
 
 // isUnresponsive reports whether a worker's answer to a renewal is overdue.
 func (m *Machine) isUnresponsive(w *worker) bool {
-	return m.now.Mono-w.lastSeen > idlePollTimeout+renewalResponseTimeout
+	return m.now.Mono-w.lastSeen > m.pollTimeout(idlePollTimeout)+renewalResponseTimeout
 }
 
 // isUsable reports whether a worker may get new tasks.
@@ -332,6 +333,20 @@
 // its successor.
 const maxFirstContacts = 200
 
+// contactNewWorkers calls the workers that this owner has not called yet, those with recorded
+// runs first, before the ones that did not answer take the room that maxFirstContacts leaves: a
+// new owner needs seconds to reach 3,000 workers, and the leases of these runs end meanwhile. It
+// runs on each Tick.
+func (m *Machine) contactNewWorkers() {
+	for _, hasRuns := range []bool{true, false} {
+		for _, w := range m.sortedWorkers {
+			if !w.hasAnswered && w.failedRenewals == 0 && len(w.runs) > 0 == hasRuns {
+				m.renewIfDue(w)
+			}
+		}
+	}
+}
+
 // maxCursorAge is the age of the worker's last answer up to which a cursor is sent. A
 // worker that restarts in the meantime could forget finished runs that the owner has
 // not seen; within this time it cannot restart and finish a run.
@@ -370,9 +385,17 @@
 		return mixedPollTimeout
 	}
 	if len(w.runs) > 0 {
-		return busyPollTimeout
+		return m.pollTimeout(busyPollTimeout)
 	}
-	return idlePollTimeout
+	return m.pollTimeout(idlePollTimeout)
+}
+
+// pollTimeout returns how long workers may delay their answers to a renewal so that all
+// workers together cause at most pollsPerSecond renewals while no run finishes; at least
+// shortest. maxPollTimeout leaves time for another try within the longest lease.
+func (m *Machine) pollTimeout(shortest time.Duration) time.Duration {
+	spread := time.Duration(len(m.sortedWorkers)) * time.Second / pollsPerSecond
+	return max(shortest, min(spread, maxPollTimeout))
 }
 
 // extendLease returns the lease end to send with a renewal or a start
@@ -445,6 +468,9 @@
 		// The start time of the new incarnation arrives with its entry in the
 		// store.
 		w.hasAnswered = false
+		if e.SentAt >= w.incarnationSeenAt {
+			m.closeReplacedRuns(w)
+		}
 	}
 	w.failedRenewals++
 	if w.failedRenewals == 3 {
@@ -452,6 +478,17 @@
 	}
 }
 
+// closeReplacedRuns closes the runs of a worker at whose address another worker answers: the
+// process that had them has ended. A run of an incarnation that is later than the listed one
+// may be at another address. handleFailedRenewal calls it.
+func (m *Machine) closeReplacedRuns(w *worker) {
+	for _, r := range slices.Clone(w.runList) {
+		if r.phase != phasePlanned && r.phase != phaseRecording && r.workerStartedAt <= w.info.Born {
+			m.closeRun(r, "lost: worker has been replaced")
+		}
+	}
+}
+
 // errText returns the text of an error for a log line, "" for nil.
 func errText(err error) string {
 	if err == nil {
@@ -492,7 +529,12 @@
 	}
 	for _, r := range slices.Clone(w.runList) {
 		key := runKey{r.taskName, r.number}
-		if !listed[key] && r.mustBeListed(sentAt) {
+		switch {
+		case listed[key] || !r.mustBeListed(sentAt):
+		case r.mayStartLate():
+			r.phase = phaseRunning // also of a run whose gang was expected to end
+			m.stopWithGang(r, "member not listed after a restart")
+		default:
 			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
 		}
