Tell a small VM that no job waits

The counts come with the answer to a hello message in a map, and an empty map is not transmitted: a small VM did not hear that no job waits. Callers that ask each VM for a route's count would have taken the configuration for not in force.

The answer now says that it has the counts. TestSmallVMLearnsThatNoJobWaits failed before.

--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -221,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if wantPending && resp.Pending != nil {
+	if wantPending && (resp.HasPending || len(resp.Pending) > 0) {
 		n.pendingCounts.Store(&resp.Pending)
 		n.pendingCountsAt.Store(int64(bootTime()))
 	}
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -134,7 +134,7 @@
 		resp.Peers = n.knownPeers()
 	}
 	if req.WantPending && n.knowsAllJobs() {
-		resp.Pending = n.replica.pendingCounts()
+		resp.Pending, resp.HasPending = n.replica.pendingCounts(), true
 	}
 	n.updateProxyCandidate(req.Addr, req.StoreAnswers, req.Follows)
 	if n.holdsTerm.Load() {
