Mend what the review of the hello messages and of loads found

- VMs that had just lost power were named as store proxies for 2 s instead of 0.55 s since small VMs of a large cell send hello messages less often; the time now follows the interval that applies to the VM.
- A VM loaded the record of the owner twice for one hello message: if it changed between, the answer of the successor proved the end of a silent owner.
- A load of a topic that ends before what was read, or that has unreadable records, removes no job any more: takes a missing key as deleted.
TestLoadThatEndsBeforeTheReadPositionRemovesNothing failed before.

--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -53,21 +53,32 @@
 // call it.
 func (n *Node) ownerClient() cellpb.Cell {
 	r := n.ownerRecord.Load()
-	if r == nil || r.Resigned || r.Addr == n.settings.PeerAddr {
+	if !n.isOtherOwner(r) {
 		return nil
 	}
 	return n.peer(r.Addr)
 }
 
+// isOtherOwner reports whether a record names an owner that is another VM.
+func (n *Node) isOtherOwner(r *election.OwnerRecord) bool {
+	return r != nil && !r.Resigned && r.Addr != n.settings.PeerAddr
+}
+
 // currentHelloInterval returns the time between two hello messages to an owner that
 // answers them.
 func (n *Node) currentHelloInterval() time.Duration {
-	if isFollower(n.settings) {
-		return helloInterval
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	spread := time.Duration(len(n.peerAddrs)) * time.Second / hellosPerSecond
+	return helloIntervalOf(isFollower(n.settings), len(n.peerAddrs))
+}
+
+// helloIntervalOf returns the time between two hello messages of a VM in a cell of that many
+// other VMs.
+func helloIntervalOf(isFollower bool, peers int) time.Duration {
+	if isFollower {
+		return helloInterval
+	}
+	spread := time.Duration(peers) * time.Second / hellosPerSecond
 	return max(helloInterval, min(spread, maxHelloInterval))
 }
 
@@ -176,12 +187,13 @@
 // while the owner does not answer. If the owner's
 // process has evidently ended, it reports that to the election.
 func (n *Node) helloOwner(ctx context.Context) bool {
+	// The record is loaded once: the answer of a successor proves nothing of the process
+	// that it names.
 	record := n.ownerRecord.Load()
-	owner := n.ownerClient()
-	if owner == nil {
+	if !n.isOtherOwner(record) {
 		return false
 	}
-	resp, err := n.sendHello(ctx, owner)
+	resp, err := n.sendHello(ctx, n.peer(record.Addr))
 	if err != nil {
 		n.ownerReply.CompareAndSwap(n.ownerReply.Load(), n.unansweredReply())
 		if isConnRefused(err) {
--- a/internal/cell/node/proxyselection.go
+++ b/internal/cell/node/proxyselection.go
@@ -16,8 +16,6 @@
 	// maxAdvertisedProxies bounds the store proxies in one answer to a hello
 	// message.
 	maxAdvertisedProxies = 4
-	// proxyCandidateTTL is how long a hello message counts; one may be lost.
-	proxyCandidateTTL = 2*maxHelloInterval + helloReplySlack
 )
 
 // proxyCandidate is a VM that reported that the store answers it.
@@ -56,6 +54,12 @@
 	n.proxyCandidates[addr] = proxyCandidate{lastSeen: bootTime(), isLarge: isLarge}
 }
 
+// proxyCandidateTTL returns how long a hello message of a VM counts in a cell of that many
+// other VMs; one may be lost.
+func proxyCandidateTTL(isLarge bool, peers int) time.Duration {
+	return 2*helloIntervalOf(isLarge, peers) + helloReplySlack
+}
+
 // currentProxyList returns the list of the usable proxy candidates. storeProxyAddrs calls
 // it with mu held.
 func (n *Node) currentProxyList() *proxyList {
@@ -66,7 +70,7 @@
 	n.proxyList = &proxyList{builtAt: now}
 	for addr, p := range n.proxyCandidates {
 		switch {
-		case now-p.lastSeen > proxyCandidateTTL:
+		case now-p.lastSeen > proxyCandidateTTL(p.isLarge, len(n.peerAddrs)):
 			delete(n.proxyCandidates, addr)
 		case p.isLarge:
 			n.proxyList.large = append(n.proxyList.large, addr)
--- a/internal/cell/node/storerouter_test.go
+++ b/internal/cell/node/storerouter_test.go
@@ -162,7 +162,7 @@
 	n.updateProxyCandidate("b:1", true, false)
 	n.updateProxyCandidate("b:1", false, false)
 	n.updateProxyCandidate("c:1", true, true)
-	n.proxyCandidates["c:1"] = proxyCandidate{lastSeen: bootTime() - 2*proxyCandidateTTL, isLarge: true}
+	n.proxyCandidates["c:1"] = proxyCandidate{lastSeen: bootTime() - 2*proxyCandidateTTL(true, 0), isLarge: true}
 	is.Equal(n.storeProxyAddrs("z:1"), []string{"a:1"})
 	is.Equal(len(n.storeProxyAddrs("a:1")), 0)
 	n.updateProxyCandidate("d:1", true, true)
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"gypsumwinch/internal/cell"
 )
 
@@ -70,7 +72,14 @@
 	if err != nil {
 		return err
 	}
+	if position := t.nextOffset.Load(); batch.Next < position {
+		return eris.Errorf("topic %s ends at offset %d, before the position %d that was read", t.topic, batch.Next, position)
+	}
 	t.logUnreadable(batch)
+	if batch.Unreadable > 0 {
+		// One of the unreadable records may be that of a key that seems to be missing.
+		known = nil
+	}
 	t.apply(append(batch.Records, deletions(known, batch)...))
 	t.nextOffset.Store(max(batch.Next, 0))
 	t.isLoaded.Store(true)
--- a/internal/cell/node/topicreader_test.go
+++ b/internal/cell/node/topicreader_test.go
@@ -42,3 +42,27 @@
 	}
 	is.True(reader.isLoaded.Load())
 }
+
+// emptyStore has no topic.
+type emptyStore struct{ cell.Store }
+
+func (emptyStore) Newest(context.Context, cell.Topic) (cell.Batch, error) { return cell.Batch{}, nil }
+
+func (emptyStore) Read(context.Context, cell.Topic, int64, time.Duration) (cell.Batch, error) {
+	return cell.Batch{}, cell.ErrExpired
+}
+
+// TestLoadThatEndsBeforeTheReadPositionRemovesNothing guards against a wrong answer that a topic does not exist, which would delete all jobs of the replica.
+func TestLoadThatEndsBeforeTheReadPositionRemovesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	_, err := store.Append(ctx, cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: []cell.KeyValue{recordOf(t, "a")}})
+	is.NoErr(err)
+	n := newFollower(t, store)
+	n.jobsReader.store = emptyStore{store}
+	_, err = n.jobsReader.read(ctx, 0)
+	is.True(err != nil)
+	_, known := n.replica.state("a")
+	is.True(known)
+}
