Let silent workers not keep a new owner from the others

Cause: a call to a worker that does not answer took one of 200 places for first calls until its timeout, half a second, and was repeated 150 ms later before workers with later ids were called at all. Change: a first call takes a place for 100 ms at most; 100 places; workers that were not called yet go before those that did not answer, and among them those with runs first.

--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -104,8 +104,8 @@
 	cycle          int
 	// isQuarantineSuspended is true while quarantines do not apply.
 	isQuarantineSuspended bool
-	// firstContacts counts the renewals in flight to workers that have not answered
-	// this owner; see maxFirstContacts.
+	// firstContacts counts the recent renewals to workers that have not answered this
+	// owner, from each Tick on; see maxFirstContacts.
 	firstContacts int
 	// usableWorkers are those of sortedWorkers that may get new tasks in the current
 	// scheduling cycle.
@@ -205,8 +205,8 @@
 
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
-// that are due and marks started jobs for recording. It calls workers with runs that
-// have not answered this owner. For each worker it
+// that are due and marks started jobs for recording. It calls workers that have not
+// answered this owner. For each worker it
 // closes the runs of an expired lease, sends the next renewal, repeats
 // unanswered start and stop requests and removes the worker if it is unused.
 // It requests a scheduling cycle if steps are waiting, and advances the
@@ -214,7 +214,7 @@
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
-	m.contactWorkersWithRuns()
+	m.callNewWorkers()
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
--- a/internal/cell/owner/scale_test.go
+++ b/internal/cell/owner/scale_test.go
@@ -129,7 +129,7 @@
 			f.apply(RenewResult{Worker: r.Renewal.Worker, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1}})
 		}
 	}
-	is.Equal(f.m.firstContacts <= 1, true)
+	is.True(f.m.firstContacts <= maxFirstContacts)
 }
 
 // TestTakeoverCallsWorkersWithRunsFirst guards against runs whose leases end although their
@@ -168,3 +168,48 @@
 		is.Equal(f.m.renewalPollTimeout(w), max(busyPollTimeout, min(want, time.Duration(workers)*time.Second/pollsPerSecond)))
 	}
 }
+
+// TestUnreachableWorkersDoNotKeepOthersUncalled guards against a new owner that never calls
+// part of the workers: those of a data centre that is cut off, whose calls end after half a
+// second, would take the room for first calls again and again.
+func TestUnreachableWorkersDoNotKeepOthersUncalled(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{t: t}
+	f.m = New(Options{Term: 3, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout}, f.time())
+	var listed WorkersListed
+	for i := range 3000 {
+		listed.Workers = append(listed.Workers, cell.Worker{ID: fmt.Sprintf("w%04d", i), Service: "s", Addr: "a:1", Born: 1})
+	}
+	f.apply(listed)
+	failsAt := map[string]time.Duration{}
+	answered := 0
+	// apply passes an event at the present time and answers the renewals that follow.
+	apply := func(ev Event) {
+		queue := []Event{ev}
+		for len(queue) > 0 {
+			actions := f.m.Apply(f.time(), queue[0])
+			queue = queue[1:]
+			for _, a := range actions {
+				r, ok := a.(Renew)
+				switch {
+				case !ok || f.m.workers[r.Renewal.Worker].hasAnswered:
+				case r.Renewal.Worker < "w0600":
+					failsAt[r.Renewal.Worker] = f.now + 500*time.Millisecond
+				default:
+					answered++
+					queue = append(queue, RenewResult{Worker: r.Renewal.Worker, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1}})
+				}
+			}
+		}
+	}
+	for end := f.now + 4*time.Second; answered < 2400; f.now += 25 * time.Millisecond {
+		is.True(f.now < end)
+		for id, at := range failsAt {
+			if f.now >= at {
+				delete(failsAt, id)
+				apply(RenewResult{Worker: id, SentAt: f.now, Err: errNoAnswer})
+			}
+		}
+		apply(Tick{})
+	}
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -30,9 +30,8 @@
 	leaseEnd time.Duration
 
 	isRenewalInFlight bool
-	// isFirstContact is true while the renewal in flight counts in
-	// Machine.firstContacts.
-	isFirstContact bool
+	// renewalSentAt is when the last renewal was sent.
+	renewalSentAt  time.Duration
 	nextRenewalAt  time.Duration
 	lastSeen       time.Duration
 	failedRenewals int
@@ -200,9 +199,6 @@
 	if w.isListed || len(w.runs) > 0 || m.workers[w.info.ID] != w {
 		return
 	}
-	if w.isFirstContact {
-		m.firstContacts--
-	}
 	delete(m.workers, w.info.ID)
 	for i, o := range m.sortedWorkers {
 		if o == w {
@@ -311,8 +307,8 @@
 		return
 	}
 	w.isRenewalInFlight = true
-	w.isFirstContact = !w.hasAnswered
-	if w.isFirstContact {
+	w.renewalSentAt = m.now.Mono
+	if !w.hasAnswered {
 		m.firstContacts++
 	}
 	w.cursorInFlight = m.cursorToSend(w)
@@ -326,20 +322,33 @@
 	}})
 }
 
-// maxFirstContacts bounds the renewals in flight to workers that have not answered this
-// owner. Each opens a connection. A new owner of 3,000 workers that calls all of them at
-// once answers none of their calls in time, counts as isolated and resigns, and so does
-// its successor.
-const maxFirstContacts = 200
-
-// contactWorkersWithRuns calls the workers with recorded runs that have not answered this
-// owner, before the others take the room that maxFirstContacts leaves: a new owner needs
-// seconds to reach 3,000 workers, and the leases of these runs end meanwhile. It runs on
-// each Tick.
-func (m *Machine) contactWorkersWithRuns() {
+// maxFirstContacts bounds the renewals to workers that have not answered this owner and
+// were sent within firstContactWindow. Each opens a connection. A new owner of 3,000 workers
+// that calls all of them at once answers none of their calls in time, counts as isolated
+// and resigns, and so does its successor. A call without an answer within the window takes
+// no room any more, so that the workers of a data centre that is cut off do not keep the
+// owner from the others, and at least 1,000 workers are called in a second.
+const (
+	maxFirstContacts   = 100
+	firstContactWindow = 100 * time.Millisecond
+)
+
+// callNewWorkers calls workers that have not answered this owner: first those with recorded
+// runs, whose leases may end within the seconds that a new owner needs to reach 3,000
+// workers, then the others, both before those are called again that did not answer. It runs
+// on each Tick.
+func (m *Machine) callNewWorkers() {
+	m.firstContacts = 0
 	for _, w := range m.sortedWorkers {
-		if !w.hasAnswered && len(w.runs) > 0 {
-			m.renewIfDue(w)
+		if !w.hasAnswered && w.isRenewalInFlight && m.now.Mono-w.renewalSentAt < firstContactWindow {
+			m.firstContacts++
+		}
+	}
+	for _, hasRuns := range []bool{true, false} {
+		for _, w := range m.sortedWorkers {
+			if !w.hasAnswered && w.failedRenewals == 0 && (len(w.runs) > 0) == hasRuns {
+				m.renewIfDue(w)
+			}
 		}
 	}
 }
@@ -419,10 +428,6 @@
 		return
 	}
 	w.isRenewalInFlight = false
-	if w.isFirstContact {
-		w.isFirstContact = false
-		m.firstContacts--
-	}
 	if e.Err != nil || e.Refusal != cell.RefusedNone {
 		m.handleFailedRenewal(w, e)
 		return
