Say that a drain waits for the rest of a request

Nothing asks for an end before GraceS, and the process ends within it in this case too (TestShutdownWaitsForARequestInFlight). The rest may be on a slow or lossy link, so that an earlier end would turn requests that can be answered into broken ones. It stays as it is and is written down.

Tried and dropped: ending the reads of such requests when the shutdown gives them up, with 503 as the answer. A request that is given up could then no longer be completed, which TestShutdownWaitsForARequestInFlight guards.

--- a/internal/gracefulhttp/server.go
+++ b/internal/gracefulhttp/server.go
@@ -89,6 +89,10 @@
 // When ctx ends first, Shutdown ends the contexts of the requests in flight, so that
 // their handlers answer at once, and waits for up to answerTimeout for that. Its error is
 // that of ctx if a connection is left then.
+//
+// A request of which a part has arrived is waited for until then, like one in flight: its
+// rest may be on a slow or lossy way. Ending it earlier would answer no more requests, and
+// the process ends within its grace period in any case.
 func (s *Server) Shutdown(ctx context.Context, answerTimeout time.Duration) error {
 	s.Drain()
 	s.closeListener()
