node: write the queued log lines before the process exits

Cause: lines are written on a goroutine of their own, and the process exits when Run returns.

Change: Run waits for the queued lines, for at most 100 ms.

--- a/internal/cell/node/logging.go
+++ b/internal/cell/node/logging.go
@@ -15,19 +15,29 @@
 	// maxLinesPerSecond is the rate limit for lines of one kind; a busy owner
 	// logs about 100 a second.
 	maxLinesPerSecond = 120
+	// logFlushTimeout bounds the wait for queued lines when a node stops. It is part of
+	// the time that the daemon gives a node to end.
+	logFlushTimeout = 100 * time.Millisecond
 )
 
 // asyncWriter passes lines on without blocking the caller. When the queue is
 // full, lines are dropped and counted.
 type asyncWriter struct {
-	lines   chan []byte
+	lines   chan logLine
 	dropped atomic.Int64
 }
 
+// logLine is a line to write or, if written is not nil, a mark after the lines before
+// it: written is closed when it is reached.
+type logLine struct {
+	text    []byte
+	written chan struct{}
+}
+
 // newAsyncWriter returns a writer to out and starts its goroutine. newLogger
 // calls it once for each node.
 func newAsyncWriter(out io.Writer) *asyncWriter {
-	w := &asyncWriter{lines: make(chan []byte, maxQueuedLines)}
+	w := &asyncWriter{lines: make(chan logLine, maxQueuedLines)}
 	go w.run(out)
 	return w
 }
@@ -36,7 +46,11 @@
 // starts, until the process ends.
 func (w *asyncWriter) run(out io.Writer) {
 	for line := range w.lines {
-		if _, err := out.Write(line); err != nil {
+		if line.written != nil {
+			close(line.written)
+			continue
+		}
+		if _, err := out.Write(line.text); err != nil {
 			w.dropped.Add(1)
 		}
 	}
@@ -45,7 +59,7 @@
 // Write implements io.Writer. It never fails. The logger calls it for each
 // line, on the goroutine that logs.
 func (w *asyncWriter) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	line := logLine{text: append([]byte(nil), p...)}
 	select {
 	case w.lines <- line:
 	default:
@@ -54,14 +68,31 @@
 	return len(p), nil
 }
 
-// newLogger returns a logger that writes JSON lines asynchronously. New calls
-// it once.
+// flush waits until the lines that were queued before are written, for at most timeout.
+// Run calls it last: the process exits then, and the lines that say how an ownership
+// ended would be lost.
+func (w *asyncWriter) flush(timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	mark := logLine{written: make(chan struct{})}
+	select {
+	case w.lines <- mark:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-mark.written:
+	case <-timer.C:
+	}
+}
+
+// newLogger returns a logger that writes JSON lines to out. New calls it once.
 func newLogger(out io.Writer, name string) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       name,
 		Level:      hclog.Info,
 		JSONFormat: true,
-		Output:     newAsyncWriter(out),
+		Output:     out,
 	})
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -115,6 +115,7 @@
 	workers     cell.WorkerClient
 	advisor     cell.Advisor
 	decoder     Decoder
+	logWriter   *asyncWriter
 	log         hclog.Logger
 	metrics     *metrics
 	panics      panicReporter
@@ -183,9 +184,11 @@
 // New returns a node that has not started. It writes log lines to out. The
 // daemon (cmd/gypsumwinchd) calls it once when it starts.
 func New(settings Settings, ports Ports, out io.Writer) *Node {
+	logWriter := newAsyncWriter(out)
 	n := &Node{
 		settings:        settings,
-		log:             newLogger(out, settings.Name),
+		logWriter:       logWriter,
+		log:             newLogger(logWriter, settings.Name),
 		replica:         newReplica(),
 		instance:        ulid.Make().String(),
 		startedAt:       bootTime(),
@@ -334,6 +337,7 @@
 	}
 	wg.Wait()
 	n.log.Info("node has stopped")
+	n.logWriter.flush(logFlushTimeout)
 	return nil
 }
 
