Refuse a job that is too large for a record of the store

What callers would see: 503 for submissions that were sent at the same time as one job with long texts or many dependencies, at each of its repetitions. The client of that job is told to come back, does, and is never accepted.

Cause: a submission may have 8 MB, a record of the store 256 KB, and the limits of a job bound its tasks and steps, but not its texts and the lists of its dependencies. The store refuses an append with a longer record as a whole; the committer then reports the whole batch, which at the owner holds the submissions of all VMs, as not run and takes the store for down until its next read. Found by reading; no site has such jobs.

The stand-in store refuses such records as the protocol says, so that other ways to one show in tests.

--- a/internal/cell/interfaces.go
+++ b/internal/cell/interfaces.go
@@ -54,6 +54,9 @@
 // Errors of the store. After any other error than these, ConflictError and
 // SequenceError a call may or may not have been executed.
 var (
+	// ErrTooLarge means that a job cannot be accepted, since its record would be longer than
+	// MaxRecordBytes.
+	ErrTooLarge = errors.New("the job is too large for a record of the store")
 	// ErrNotExecuted means that the call was certainly not executed.
 	ErrNotExecuted = errors.New("the store refused the call")
 	// ErrFenced means that the store has seen a higher epoch than that of the call.
--- a/internal/cell/node/submit_test.go
+++ b/internal/cell/node/submit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,3 +172,14 @@
 	is.Equal(chooseSuccessor(followers, now), cellpb.Cell(young))
 	is.Equal(chooseSuccessor(nil, now), nil)
 }
+
+// TestJobThatIsTooLargeDelaysNoOtherJob guards against a job whose record the store never accepts: the other submissions of its batch were refused with it, and the store counted as down.
+func TestJobThatIsTooLargeDelaysNoOtherJob(t *testing.T) {
+	is := is.New(t)
+	n := startSingleNode(t, &cellstore.Store{})
+	queue := cell.Queue{Name: soakQueueName, Service: "s"}
+	large := &cell.Job{ID: "0000000000000001", Queue: queue, Steps: []cell.Step{{Count: 1}}, Spec: strings.Repeat("x", cell.MaxRecordBytes)}
+	is.True(errors.Is(n.Submit(context.Background(), large), cell.ErrTooLarge))
+	is.True(!n.committer.isStoreDown())
+	is.NoErr(n.Submit(context.Background(), &cell.Job{ID: "0000000000000002", Queue: queue, Steps: []cell.Step{{Count: 1}}}))
+}
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -65,10 +65,21 @@
 // ProgressKey returns the key of a job's progress in TopicProgress.
 func ProgressKey(id JobID) string { return progressKeyPrefix + string(id) }
 
+// MaxRecordBytes is the longest record that the store accepts: the key, its length in one
+// byte, and the value. An append with a longer one is refused as a whole, however often it
+// is repeated.
+const MaxRecordBytes = 256 << 10
+
 // EncodeJob returns the value of a job's submission, without its id. The entry VM that
 // accepts the job stores it under JobKey.
+// It returns ErrTooLarge for a job whose record the store would not accept: the texts and
+// dependencies of a job have no limits of their own.
 func EncodeJob(j *Job) ([]byte, error) {
-	return json.Marshal(j)
+	value, err := json.Marshal(j)
+	if err == nil && 1+len(JobKey(j.ID))+len(value) > MaxRecordBytes {
+		return nil, ErrTooLarge
+	}
+	return value, err
 }
 
 // DecodeJob decodes the value of a job's submission. The id comes from the key. Only
--- a/standin/cellstore/cellstore.go
+++ b/standin/cellstore/cellstore.go
@@ -187,9 +187,14 @@
 	return end, err
 }
 
-// appendRecords executes an append: it checks the fencing token and the expected
+// appendRecords executes an append: it checks the size of the records, the fencing token and the expected
 // end, stores the records and wakes waiting reads. Append calls it with s.mu locked.
 func (s *Store) appendRecords(a cell.Append) (int64, error) {
+	for _, r := range a.Records {
+		if 1+len(r.Key)+len(r.Value) > cell.MaxRecordBytes {
+			return 0, cell.ErrNotExecuted
+		}
+	}
 	t := s.topic(a.Topic)
 	if a.Epoch > 0 {
 		if end, done, err := t.fence(a); done || err != nil {
