--- a/internal/cell/election/proof_test.go
+++ b/internal/cell/election/proof_test.go
@@ -70,3 +70,24 @@
 		cancel()
 	})
 }
+
+// TestLateHeartbeatOfAnEndedOwnerDelaysNoClaim guards against a cell without an owner for longer, since a heartbeat of a process that has certainly ended was executed late.
+func TestLateHeartbeatOfAnEndedOwnerDelaysNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := t.Context()
+		store := &cellstore.Store{}
+		a := loadedElection(t, store, "a")
+		_, _, err := a.claim(ctx)
+		is.NoErr(err)
+		b := loadedElection(t, store, "b")
+		b.opts.ClaimDelay = 100 * time.Millisecond
+		sharedClock(time.Now(), a, b)
+		b.ReportEnded("a-1")
+		time.AfterFunc(50*time.Millisecond, func() { _ = a.writeHeartbeat(ctx) })
+		begin := time.Now()
+		_, err = b.Campaign(ctx)
+		is.NoErr(err)
+		is.True(time.Since(begin) <= 2*b.opts.ClaimDelay)
+	})
+}
