--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -116,6 +116,7 @@
 	workers     cell.WorkerClient
 	advisor     cell.Advisor
 	decoder     Decoder
+	logWriter   *asyncWriter
 	log         hclog.Logger
 	metrics     *metrics
 	panics      panicReporter
@@ -187,9 +188,11 @@
 // New returns a node that has not started. It writes log lines to out. The
 // daemon (cmd/gypsumwinchd) calls it once when it starts.
 func New(settings Settings, ports Ports, out io.Writer) *Node {
+	logWriter := newAsyncWriter(out)
 	n := &Node{
 		settings:        settings,
-		log:             newLogger(out, settings.Name),
+		logWriter:       logWriter,
+		log:             newLogger(logWriter, settings.Name),
 		replica:         newReplica(),
 		instance:        ulid.Make().String(),
 		startedAt:       bootTime(),
@@ -340,6 +343,7 @@
 	}
 	wg.Wait()
 	n.log.Info("node has stopped")
+	n.logWriter.flush(logFlushTimeout)
 	return nil
 }
 
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -113,8 +113,8 @@
 	cycle          int
 	// isQuarantineSuspended is true while quarantines do not apply.
 	isQuarantineSuspended bool
-	// firstContacts counts the renewals in flight to workers that have not answered
-	// this owner; see maxFirstContacts.
+	// firstContacts counts the recent renewals to workers that have not answered this
+	// owner, from each Tick on; see maxFirstContacts.
 	firstContacts int
 	// usableWorkers are those of sortedWorkers that may get new tasks in the current
 	// scheduling cycle.
@@ -219,15 +219,15 @@
 
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
-// that are due and marks started jobs for recording. It calls workers that this owner
-// has not called yet before it repeats failed calls. For each worker it closes the runs
-// of an expired lease, sends the next renewal, repeats unanswered start and stop requests
-// and removes the worker if it is unused. It requests a scheduling cycle if steps are
-// waiting, and advances the cursors of all workers if nothing waits to be recorded.
+// that are due and marks started jobs for recording. It calls workers that have not
+// answered this owner. For each worker it closes the runs of an expired lease, sends the
+// next renewal, repeats unanswered start and stop requests and removes the worker if it is
+// unused. It requests a scheduling cycle if steps are waiting, and advances the cursors of
+// all workers if nothing waits to be recorded.
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
-	m.contactNewWorkers()
+	m.callNewWorkers()
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
