--- a/internal/cell/election/proof_test.go
+++ b/internal/cell/election/proof_test.go
@@ -91,3 +91,31 @@
 		is.True(time.Since(begin) <= 2*b.opts.ClaimDelay)
 	})
 }
+
+// TestBoundsOfAnEarlierOwnershipAreNotRepeated guards against a bound that an owner repeats from before another VM owned the cell and extended the lease.
+func TestBoundsOfAnEarlierOwnershipAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := t.Context()
+		begin := time.Now()
+		store := &cellstore.Store{}
+		version := int64(1)
+		a := namingOwner(t, store, begin, &version)
+		is.NoErr(a.writeHeartbeat(ctx))
+		b := loadedElection(t, store, "b")
+		c := loadedElection(t, store, "c")
+		sharedClock(begin, b, c)
+		claimAndFence(t, b)
+		is.Equal(len(b.FormerLeases()), 1)
+		_, err := c.confirmLastOwner(ctx, "b-1")
+		is.NoErr(err)
+		_, _, err = c.claim(ctx) // c owns the cell, and extends leases
+		is.NoErr(err)
+		_, err = b.confirmLastOwner(ctx, "c-1")
+		is.NoErr(err)
+		_, _, err = b.claim(ctx)
+		is.NoErr(err)
+		stated, _ := b.leases()
+		is.True(stated == nil)
+	})
+}
