Spread the retries of renewals over the workers that do not answer

Cause: each failed renewal was repeated after 0.15 s. Change: the delay grows with the number of silent workers so that there are at most 500 retries a second, up to 1 s; up to 75 silent workers nothing changes. TestRetriesOfSilentWorkersAreSpread is new; before, the delay was 0.15 s in each case.

--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -56,8 +56,11 @@
 	// renewalResponseTimeout is how late a worker's answer to a renewal may be
 	// before the worker gets no more starts.
 	renewalResponseTimeout = 600 * time.Millisecond
-	// renewalRetryInterval is the delay before a failed renewal is sent again.
-	renewalRetryInterval = 150 * time.Millisecond
+	// renewalRetryInterval is the shortest delay before a failed renewal is sent again,
+	// maxRenewalRetryDelay the longest; see renewalRetryDelay.
+	renewalRetryInterval    = 150 * time.Millisecond
+	maxRenewalRetryDelay    = time.Second
+	renewalRetriesPerSecond = 500
 	// requestRetryInterval is the delay before a start or stop request without
 	// an answer is sent again.
 	requestRetryInterval = 40 * time.Millisecond
@@ -107,6 +110,8 @@
 	// firstContacts counts the recent renewals to workers that have not answered this
 	// owner, from each Tick on; see maxFirstContacts.
 	firstContacts int
+	// silentWorkers counts the workers whose last renewal failed, at the last Tick.
+	silentWorkers int
 	// usableWorkers are those of sortedWorkers that may get new tasks in the current
 	// scheduling cycle.
 	usableWorkers []*worker
--- a/internal/cell/owner/scale_test.go
+++ b/internal/cell/owner/scale_test.go
@@ -213,3 +213,19 @@
 		apply(Tick{})
 	}
 }
+
+// TestRetriesOfSilentWorkersAreSpread guards against an owner whose processor is taken by
+// renewals of workers that are cut off, each of which opens a connection. A few silent
+// workers are called again as soon as before.
+func TestRetriesOfSilentWorkersAreSpread(t *testing.T) {
+	is := is.New(t)
+	for silent, want := range map[int]time.Duration{8: renewalRetryInterval, 75: renewalRetryInterval, 250: 500 * time.Millisecond, 900: time.Second} {
+		f := newLargeOwner(1000, 0)
+		for _, w := range f.m.sortedWorkers[:silent] {
+			w.failedRenewals = 1
+		}
+		f.apply(Tick{})
+		f.apply(RenewResult{Worker: "w0000", SentAt: f.now, Err: errNoAnswer})
+		is.Equal(f.m.workers["w0000"].nextRenewalAt-f.now, want)
+	}
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -338,8 +338,11 @@
 // workers, then the others, both before those are called again that did not answer. It runs
 // on each Tick.
 func (m *Machine) callNewWorkers() {
-	m.firstContacts = 0
+	m.firstContacts, m.silentWorkers = 0, 0
 	for _, w := range m.sortedWorkers {
+		if w.failedRenewals > 0 {
+			m.silentWorkers++
+		}
 		if !w.hasAnswered && w.isRenewalInFlight && m.now.Mono-w.renewalSentAt < firstContactWindow {
 			m.firstContacts++
 		}
@@ -457,11 +460,11 @@
 }
 
 // handleFailedRenewal processes a renewal that failed or was refused: it is
-// repeated after renewalRetryInterval, and the worker gets no new tasks
+// repeated after renewalRetryDelay, and the worker gets no new tasks
 // until one succeeds. If the worker knows a later owner, this owner resigns.
 // handleRenewal calls it.
 func (m *Machine) handleFailedRenewal(w *worker, e RenewResult) {
-	w.nextRenewalAt = m.now.Mono + renewalRetryInterval
+	w.nextRenewalAt = m.now.Mono + m.renewalRetryDelay()
 	switch e.Refusal {
 	case cell.RefusedStaleToken:
 		m.emit(Resign{Reason: "worker " + w.info.ID + " reports a higher fencing token"})
@@ -477,6 +480,14 @@
 	}
 }
 
+// renewalRetryDelay returns the delay before a failed renewal is sent again: it grows with
+// the number of workers that do not answer, up to maxRenewalRetryDelay, since each try
+// opens a connection: with 510 workers cut off, the owner opened 1,900 in a second.
+func (m *Machine) renewalRetryDelay() time.Duration {
+	spread := time.Duration(m.silentWorkers) * time.Second / renewalRetriesPerSecond
+	return max(renewalRetryInterval, min(spread, maxRenewalRetryDelay))
+}
+
 // errText returns the text of an error for a log line, "" for nil.
 func errText(err error) string {
 	if err == nil {
