--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -93,7 +93,13 @@
 	return s.Store.Read(ctx, topic, from, wait)
 }
 
+// soakPageTimeout bounds one page of newest records, as the client of the platform's store
+// does.
+const soakPageTimeout = 3 * time.Second
+
 func (s *soakStore) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, soakPageTimeout)
+	defer cancel()
 	if err := s.readError(ctx); err != nil {
 		return cell.Batch{}, err
 	}
