Let an idle gang need fewer rounds of advice queries

Callers saw: in calm, a wide gang had nothing running for 3.3 s and more, up to 6.6 s, with room for it twice over.

Change: a step without a run for 1.5 s asks if the workers can hold it at all; each round without success asks for half of the need more, up to twice; the queries of a round have one size.

Test that failed before: TestIdleGangAsksWhetherItsWorkersSuffice.

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -19,6 +19,8 @@
 	// workers per query of the round.
 	unqueriedWorkers []string
 	querySize        int
+	// rounds is the number of rounds since tasks of the step were last planned.
+	rounds int
 	// nextQueryAt is the earliest time of the next query about the step.
 	nextQueryAt time.Duration
 	// eligibleByWorker has an entry for each worker that an answered query
@@ -63,6 +65,11 @@
 	// querySurplusFactor multiplies the needed capacity: other steps may take
 	// some of it before the answer arrives.
 	querySurplusFactor = 1.15
+	// roundSurplus is added to querySurplusFactor for each round, up to maxSurplusRounds,
+	// after which the step could not be placed: a job that could run may have nothing
+	// running for 3 s, and a round takes 1 to 1.7 s.
+	roundSurplus     = 0.5
+	maxSurplusRounds = 2
 	// queryDeviations is the number of standard deviations by which the expected
 	// eligible capacity must exceed the need, since eligibility is random: the
 	// eligible capacity is then too small in 1 of 20 queries. Steps that are not
@@ -275,7 +282,8 @@
 	// A gang waits if the expected capacity is too small for it. But if the
 	// candidates exceed one round of queries, it queries them round by round to
 	// learn which are eligible.
-	isCapacityTooSmall := s.def.Gang && candidates.expectedTasks < float64(need) && len(candidates.workerIDs) < maxQueriedWorkers
+	isCapacityTooSmall := s.def.Gang && candidates.expectedTasks < float64(need) && len(candidates.workerIDs) < maxQueriedWorkers &&
+		!(s.acceptsAllWorkers && candidates.possibleTasks >= need)
 	if len(candidates.workerIDs) == 0 || isCapacityTooSmall {
 		return
 	}
@@ -283,9 +291,13 @@
 	a.reservations = candidates.reservations
 	a.querySize = queryWorkers
 	if needsFreeProxy(q) && m.adviceCapacity.FreeProxies < 2*(len(candidates.workerIDs)/queryWorkers+1) {
-		a.querySize = maxQueryWorkers
+		// Queries of one size are answered at the same time.
+		n := len(candidates.workerIDs)
+		queries := (n + maxQueryWorkers - 1) / maxQueryWorkers
+		a.querySize = (n + queries - 1) / queries
 	}
 	a.unqueriedWorkers = candidates.workerIDs
+	a.rounds++
 	m.sendQueries(s, q)
 }
 
@@ -363,8 +375,9 @@
 	workerIDs    []string
 	reservations []reservation
 	// expectedTasks is how many tasks are expected to fit on the eligible ones
-	// of the workers.
+	// of the workers; possibleTasks is how many fit if all of them are eligible.
 	expectedTasks float64
+	possibleTasks int
 }
 
 // candidate is a worker that a query could name.
@@ -373,6 +386,7 @@
 	// expectedTasks is how many tasks are expected to fit, given the chance that
 	// the worker is eligible; variance is the variance of that number.
 	expectedTasks float64
+	possibleTasks int
 	variance      float64
 	rank          float64
 }
@@ -399,7 +413,7 @@
 	if s.def.Gang || !needsFreeProxy(q) {
 		deviations = queryDeviations
 	}
-	wanted := float64(need)*querySurplusFactor + 1
+	wanted := float64(need)*(querySurplusFactor+roundSurplus*float64(min(s.advice.rounds, maxSurplusRounds))) + 1
 	var out candidateSet
 	picked := 0
 	variance := 0.0
@@ -410,6 +424,7 @@
 		picked++
 		out.workerIDs = append(out.workerIDs, c.worker.info.ID)
 		out.expectedTasks += c.expectedTasks
+		out.possibleTasks += c.possibleTasks
 		variance += c.variance
 	}
 	for _, c := range all[:picked] {
@@ -470,7 +485,7 @@
 // workers with the most free capacity. Other steps prefer the fullest
 // workers, which leaves the emptier ones to gangs.
 func (m *Machine) rateCandidate(w *worker, s *step, tasks, eligibleFraction float64) candidate {
-	c := candidate{worker: w, expectedTasks: tasks, rank: tasks + m.rand.Float64()}
+	c := candidate{worker: w, expectedTasks: tasks, possibleTasks: int(tasks), rank: tasks + m.rand.Float64()}
 	if !s.def.Gang {
 		c.rank = -m.freeCPUFractionAfter(w, scaleResources(s.def.Charge(), tasks)) - fullnessJitter*m.rand.Float64()
 	}
--- a/internal/cell/owner/rounds_test.go
+++ b/internal/cell/owner/rounds_test.go
@@ -92,3 +92,21 @@
 	t.Logf("rounds: %v", rounds)
 	is.Equal(rounds[1]+rounds[2], 1000)
 }
+
+// TestIdleGangAsksWhetherItsWorkersSuffice guards against a gang that never asks since too few workers are expected to be eligible.
+func TestIdleGangAsksWhetherItsWorkersSuffice(t *testing.T) {
+	is := is.New(t)
+	f := newGangFixture(t, 10)
+	f.apply(JobSubmitted{Job: newJob("j", newGang(20))}) // 15 of 30 are expected
+	for end := f.now + maxIdleTime - time.Second; f.now < end; f.now += 25 * time.Millisecond {
+		for _, w := range f.m.sortedWorkers {
+			f.m.Apply(f.time(), RenewResult{Worker: w.info.ID, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1}})
+		}
+		f.schedule(unlimitedAdvice)
+		if f.now < idleAvoidLimit {
+			is.Equal(len(actionsOf[QueryAdvice](f)), 0)
+		}
+		f.m.isCycleNeeded = true
+	}
+	is.True(len(actionsOf[QueryAdvice](f)) > 0)
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -318,6 +318,7 @@
 func (m *Machine) finishPlanning(s *step, planned int) {
 	m.logDecision(s.id.String(), "tasks are planned", "tasks", planned, "run", s.lastRunNumber,
 		"waited_ms", (m.now.Mono - s.readyAt).Milliseconds())
+	s.advice.rounds = 0
 	m.markDirty(s.job)
 }
 
