Let a step without a run use suspect workers as its last choice

Callers could see: a job that has nothing running for up to 16 s in calm, although the workers that it may use are free.

Cause, found by reading and shown by a test: a worker that failed runs of several jobs gets no task for up to 16 s after its last failure, and then one at a time. If a disruption makes the workers fail that a step needs (its label, its eligible ones, a small cell), they stay unused after it has ended; calm is judged from 4 s after that, and a job may then have nothing running for 3 s. A long-running step counted as running while any of its tasks ran, so that another task of it avoided workers for as long; each lasting task is judged by itself.

Change: 4 s after a worker's last failure, a step that has had no run for 1.5 s may use it as its last choice, without a limit of one task. Until then nothing changes: the worker may go on failing, and attempts are limited. The tasks of a long-running step count one by one.

--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -36,6 +36,10 @@
 	// workerAvoidTTL is how long a step avoids a worker on which one of its runs
 	// failed.
 	workerAvoidTTL = 6 * time.Second
+	// idleQuarantine is how long after its last failure a suspect worker gets no task of
+	// a step without a run. A disruption that made the worker fail may go on until
+	// then; after it a job that could run may have nothing running for 3 s.
+	idleQuarantine = 4 * time.Second
 	// idleAvoidLimit is how long a step without a run goes on avoiding workers. A job
 	// that could run may have nothing running for 3 s, and an answer of the advice
 	// service takes up to a second.
@@ -90,13 +94,15 @@
 	m.isQuarantineSuspended = float64(quarantined) > maxQuarantinedFraction*float64(len(m.sortedWorkers))
 }
 
-// limitByHealth returns how many of n tasks that fit may be placed on a
+// limitByHealth returns how many of n tasks of a step that fit may be placed on a
 // worker, given its health and its present runs. Every computation of a
 // worker's capacity for a step in a scheduling cycle uses it.
-func (m *Machine) limitByHealth(w *worker, n int) int {
+func (m *Machine) limitByHealth(w *worker, s *step, n int) int {
 	switch {
 	case m.isQuarantineSuspended || !w.health.isSuspect():
 		return n
+	case s.acceptsAllWorkers && m.now.Mono-w.health.lastFailureAt >= idleQuarantine:
+		return n
 	case w.health.isQuarantined(m.now.Mono):
 		return 0
 	default:
@@ -106,9 +112,10 @@
 
 // mustAcceptAllWorkers reports whether a step has had no run for idleAvoidLimit, so
 // that it no longer avoids workers. placeStep calls it once in each scheduling cycle:
-// the answer must not change while the step's tasks are placed.
+// the answer must not change while the step's tasks are placed. Each task of a
+// long-running step must run, whether others do or not.
 func (m *Machine) mustAcceptAllWorkers(s *step) bool {
-	return s.openRuns == 0 && m.now.Mono-s.idleSince >= idleAvoidLimit
+	return (s.openRuns == 0 || s.def.LongRunning) && m.now.Mono-s.idleSince >= idleAvoidLimit
 }
 
 // avoidsWorker reports whether a run of a step recently failed on a worker, unless
--- a/internal/cell/owner/idle_test.go
+++ b/internal/cell/owner/idle_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
 )
 
 // maxIdleTime is how long a job that could run may have nothing running; the platform judges it.
@@ -52,6 +53,52 @@
 	is.Equal(len(actionsOf[SendStart](f)), 2)
 }
 
+// TestIdleStepUsesAQuarantinedWorker guards against a job that has nothing running for up to 16 s because all its workers are in quarantine.
+func TestIdleStepUsesAQuarantinedWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	for _, id := range []string{"x", "y", "z"} { // of another label; a quarantine applies to a part of the workers only
+		f.addWorker(id, 1000)
+	}
+	f.apply(WorkersListed{Workers: []cell.Worker{{ID: "w", Service: "s", Addr: "w:1", Born: 1,
+		Capacity: structs.Resources{MilliCPU: 1000, MemoryMB: 1000}, Labels: []string{"only"}}}})
+	w := f.m.workers["w"]
+	w.health = health{failedJobs: 10, lastFailureAt: f.now}
+	step := newStep(2, 500)
+	step.Label = "only"
+	f.apply(JobSubmitted{Job: newJob("j", step)})
+	judgedAt := f.now + 4*time.Second + maxIdleTime // the last failure may end a disruption
+	for ; f.now < judgedAt; f.now += 25 * time.Millisecond {
+		f.answerRenewal()
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+		if f.now < w.health.lastFailureAt+idleQuarantine {
+			is.Equal(len(actionsOf[SendStart](f)), 0) // the worker may fail all it starts
+		}
+	}
+	is.Equal(len(actionsOf[SendStart](f)), 2)
+}
+
+// TestLastingTaskUsesAQuarantinedWorker guards against a lasting task without a run beside others of its step.
+func TestLastingTaskUsesAQuarantinedWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.addWorker("z", 1000)
+	f.addWorker("y", 0)
+	f.addWorker("x", 0)
+	step := newStep(2, 800)
+	step.LongRunning = true
+	f.m.workers["w"].health = health{failedJobs: 10, lastFailureAt: f.now}
+	f.apply(JobSubmitted{Job: newJob("j", step)})
+	for end := f.now + 4*time.Second + maxIdleTime; f.now < end; f.now += 25 * time.Millisecond {
+		f.answerRenewal()
+		f.apply(RenewResult{Worker: "z", SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1}})
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+	}
+	is.Equal(len(f.m.workers["w"].runs), 1)
+}
+
 // TestIdleStepReturnsToItsWorkerLast guards against a job that uses up its attempts on one faulty worker although another one has room.
 func TestIdleStepReturnsToItsWorkerLast(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -155,7 +155,7 @@
 // called with all free capacity to place runs, and without the reserved part
 // to select workers for advice queries.
 func (m *Machine) taskCapacityWithin(free structs.Resources, w *worker, s *step) int {
-	n := m.limitByHealth(w, countFitting(s.def.Charge(), free))
+	n := m.limitByHealth(w, s, countFitting(s.def.Charge(), free))
 	if s.def.MaxPerWorker > 0 {
 		n = min(n, s.def.MaxPerWorker-m.countRuns(s, w))
 	}
