--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -169,7 +169,7 @@
 // called with all free capacity to place runs, and without the reserved part
 // to select workers for advice queries.
 func (m *Machine) taskCapacityWithin(free structs.Resources, w *worker, s *step) int {
-	n := m.limitByHealth(w, countFitting(s.def.Charge(), free))
+	n := m.limitByHealth(w, s, countFitting(s.def.Charge(), free))
 	if s.def.MaxPerWorker > 0 {
 		n = min(n, s.def.MaxPerWorker-m.countRuns(s, w))
 	}
@@ -209,14 +209,15 @@
 // advice for those that find no worker. runCycle calls it for each waiting
 // step.
 func (m *Machine) placeStep(s *step, q *cell.Queue) {
+	s.acceptsAllWorkers = m.mustAcceptAllWorkers(s)
 	pending := m.pendingTasks(s)
 	if len(pending) == 0 {
-		if s.openRuns == len(s.tasks)-s.doneTasks && !s.def.LongRunning {
+		isWaitingForLeases := m.prefetchAdvice(s, q)
+		if s.openRuns == len(s.tasks)-s.doneTasks && !s.def.LongRunning && !isWaitingForLeases {
 			delete(m.waitingSteps, s.id)
 		}
 		return
 	}
-	s.acceptsAllWorkers = m.mustAcceptAllWorkers(s)
 	if s.def.Gang {
 		m.placeGang(s, q, pending)
 		return
@@ -273,8 +274,8 @@
 	m.finishPlanning(s, len(pending))
 }
 
-// gangFits reports whether the permitted workers have capacity for all tasks
-// of a gang. placeGang calls it before it plans any run.
+// gangFits reports whether the permitted workers have capacity for need tasks of a
+// step. placeGang calls it before it plans any run, prefetchAdvice before it queries.
 func (m *Machine) gangFits(s *step, q *cell.Queue, permitted []*worker, need int) bool {
 	fitting := 0
 	for _, w := range permitted {
@@ -331,6 +332,7 @@
 func (m *Machine) finishPlanning(s *step, planned int) {
 	m.logDecision(s.id.String(), "tasks are planned", "tasks", planned, "run", s.lastRunNumber,
 		"waited_ms", (m.now.Mono - s.readyAt).Milliseconds())
+	s.advice.rounds = 0
 	m.markDirty(s.job)
 }
 
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -429,6 +429,19 @@
 	return w.leaseEnd
 }
 
+// startLease returns the lease end to send with a start request: the present one while it
+// lasts for minStartLease. A worker may be gone for as long as a renewal waits there; a start
+// request that extended the lease would prolong the wait for the runs of such a worker.
+func (m *Machine) startLease(w *worker) time.Duration {
+	if w.leaseEnd-w.estimatedClock(m.now.Mono) >= minStartLease {
+		return w.leaseEnd
+	}
+	return m.extendLease(w)
+}
+
+// minStartLease is two intervals of renewals.
+const minStartLease = 2 * idlePollTimeout
+
 // handleRenewal processes a RenewResult: it updates the worker's clock,
 // compares the inventory with the known runs and sends the next renewal if
 // that is due.
@@ -486,6 +499,9 @@
 		}
 	}
 	w.failedRenewals++
+	if w.failedRenewals == 1 {
+		m.awaitLeases(w)
+	}
 	if w.failedRenewals == 3 {
 		m.logDecision(w.info.ID, "worker does not answer", "open_runs", len(w.runs), "refused", string(e.Refusal), "error", errText(e.Err))
 	}
@@ -502,6 +518,16 @@
 	}
 }
 
+// awaitLeases makes scheduling cycles consider the steps with runs on a worker that does not
+// answer; see prefetchAdvice. handleFailedRenewal calls it.
+func (m *Machine) awaitLeases(w *worker) {
+	for _, r := range w.runList {
+		if s := r.step; s != nil && s.isReady && s.doneTasks < len(s.tasks) && !r.job.state.IsFinal() {
+			m.waitingSteps[s.id] = s
+		}
+	}
+}
+
 // renewalRetryDelay returns the delay before a failed renewal is sent again: it grows with
 // the number of workers that do not answer, up to maxRenewalRetryDelay, since each try
 // opens a connection: with 510 workers cut off, the owner opened 1,900 in a second.
