Sum up the occurrences that are done in a record that would be too long

Callers saw nothing run in the whole cell once a repeated job had run often enough: the progress of a job lists each step of each occurrence, and the store refuses a batch with a record above 256 KB, however often the owner repeats it. A job of 40 tasks in 2 steps reached 397,765 bytes with 3,999 occurrences done.

Change: a record that would be too long has a character for each occurrence instead, and only those steps of occurrences that are done which have open runs. Shorter records stay as they were, since a previous build takes a step that is not recorded as one that has not run.

Not mended: 4,000 open runs of a job with failures, TestProgressOfALargeJobFitsARecord.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"bytes"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +28,9 @@
 	openOccurrences int
 	submittedAt     time.Duration
 	finishedAt      time.Time
+	// hasSummary is true once the record of the job was too long without a summary of the
+	// occurrences that are done.
+	hasSummary bool
 	// openRuns counts the runs that are not closed.
 	openRuns int
 }
@@ -171,7 +176,7 @@
 	if progress == nil {
 		return
 	}
-	recorded := 0
+	recorded := len(progress.DoneOccurrences)
 	for _, p := range progress.Steps {
 		recorded = max(recorded, p.Occurrence+1)
 	}
@@ -263,6 +268,12 @@
 			s.checkpoint = p.Checkpoints[0]
 		}
 	}
+	if k := s.id.Occurrence; k < len(progress.DoneOccurrences) && progress.DoneOccurrences[k] == '1' {
+		for i := range s.tasks {
+			s.tasks[i].isDone = true
+		}
+		s.doneTasks = len(s.tasks)
+	}
 }
 
 // recoverRuns restores the runs that were open when the former owner
@@ -419,8 +430,41 @@
 	m.emit(JobFinished{Job: j.def.ID})
 }
 
-// progress builds the progress record of the job. TakeBatch calls it for
-// each job that has changed.
+// encodeProgress returns the value of the job's progress record, with the occurrences
+// that are done summed up once it would be too long for the store: the store would refuse
+// the batches of all jobs with it. TakeBatch calls it for each job that has changed.
+func (j *job) encodeProgress() ([]byte, error) {
+	p := j.progress()
+	if !j.hasSummary {
+		value, err := cell.EncodeProgress(p)
+		if err != nil || 1+len(cell.ProgressKey(j.def.ID))+len(value) <= cell.MaxRecordBytes {
+			return value, err
+		}
+		j.hasSummary = true
+	}
+	j.sumUpDoneOccurrences(p)
+	return cell.EncodeProgress(p)
+}
+
+// sumUpDoneOccurrences replaces the steps of occurrences that are done by a character for
+// each occurrence, except steps with open runs. encodeProgress calls it.
+func (j *job) sumUpDoneOccurrences(p *cell.Progress) {
+	if j.state.IsFinal() {
+		return
+	}
+	done := bytes.Repeat([]byte{'1'}, j.releasedOccurrences)
+	for _, s := range j.stepsInOrder {
+		if s.doneTasks < len(s.tasks) {
+			done[s.id.Occurrence] = '0'
+		}
+	}
+	p.DoneOccurrences = string(done)
+	p.Steps = slices.DeleteFunc(p.Steps, func(sp cell.StepProgress) bool {
+		return done[sp.Occurrence] == '1' && len(sp.OpenRuns) == 0
+	})
+}
+
+// progress builds the progress record of the job. encodeProgress calls it.
 func (j *job) progress() *cell.Progress {
 	p := &cell.Progress{State: j.state}
 	if j.state.IsFinal() {
--- a/internal/cell/owner/record.go
+++ b/internal/cell/owner/record.go
@@ -55,7 +55,7 @@
 		}
 		j := m.dirtyJobs[id]
 		delete(m.dirtyJobs, id)
-		value, err := cell.EncodeProgress(j.progress())
+		value, err := j.encodeProgress()
 		if err != nil {
 			return nil, 0, eris.Wrapf(err, "job %s", id)
 		}
--- a/internal/cell/owner/recordsize_test.go
+++ b/internal/cell/owner/recordsize_test.go
@@ -59,3 +59,39 @@
 	f.m.markDirty(f.m.jobs["j"])
 	is.Equal(max(f.takeLargest(), cell.MaxRecordBytes), cell.MaxRecordBytes)
 }
+
+// TestDoneOccurrencesOutliveTheirSummary guards against occurrences that run again after a change of the owner, and against open runs that nobody stops, since the record only sums up the occurrences that are done.
+func TestDoneOccurrencesOutliveTheirSummary(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	job := newJob("j", newStep(1, 500), newStep(2, 100))
+	job.Repeat, job.FirstDueAt = 3, f.time().Wall
+	f.apply(JobSubmitted{Job: job, Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{
+		{Occurrence: 0, Step: 0, LastRun: 1, DoneTasks: "1"},
+		{Occurrence: 0, Step: 1, LastRun: 4, DoneTasks: "11", OpenRuns: []cell.OpenRun{{Index: 1, Run: 4, Worker: "gone", Born: 1}}},
+		{Occurrence: 1, Step: 0, LastRun: 2, FailedRuns: map[int]int{0: 1}},
+		{Occurrence: 1, Step: 1, LastRun: 1, DoneTasks: "10"},
+		{Occurrence: 2, Step: 0, LastRun: 1, DoneTasks: "1"},
+		{Occurrence: 2, Step: 1, LastRun: 1, DoneTasks: "11"},
+	}}})
+	j := f.m.jobs["j"]
+	plain := j.progress()
+	j.hasSummary = true
+	value, err := j.encodeProgress()
+	is.NoErr(err)
+	recorded, err := cell.DecodeProgress(value)
+	is.NoErr(err)
+	is.Equal(recorded.DoneOccurrences, "101")
+	is.Equal(len(recorded.Steps), 3)
+	g := newFixture(t, 1000)
+	g.apply(JobSubmitted{Job: job, Progress: recorded})
+	restored := g.m.jobs["j"]
+	is.Equal(restored.openOccurrences, 1)
+	is.Equal(restored.openRuns, 1)
+	is.Equal(len(g.m.workers["gone"].runs), 1)
+	for id, s := range j.steps {
+		is.Equal(restored.steps[id].doneBits(), s.doneBits())
+	}
+	is.Equal(restored.steps[cell.StepID{Job: "j", Occurrence: 1}].tasks[0].failedRuns, 1)
+	is.Equal(len(plain.Steps), 6)
+}
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -52,6 +52,10 @@
 	State State `json:"-"`
 	// Steps has only the steps about which there is something to record.
 	Steps []StepProgress `json:"p,omitempty"`
+	// DoneOccurrences has one character per released occurrence: '1' if all its steps are
+	// done, in which case Steps has only those of them that have open runs. It is empty in a
+	// record that fits the store without it, which previous builds can read.
+	DoneOccurrences string `json:"n,omitempty"`
 	// FinishedAt is when the job reached a final state, in Unix seconds; 0 before.
 	FinishedAt int64 `json:"t,omitempty"`
 }
--- a/internal/cell/validate.go
+++ b/internal/cell/validate.go
@@ -15,7 +15,7 @@
 	// maxSteps bounds the steps of a job.
 	maxSteps = 1_000
 	// maxOccurrences bounds the occurrences of a repeated job. The record of a job
-	// has 40 bytes about each one that is done.
+	// has a character about each one that is done if it would be too long otherwise.
 	maxOccurrences = 4_000
 	// maxAmount bounds an amount of one resource, so that sums of amounts do not
 	// overflow.
@@ -85,6 +85,9 @@
 	default:
 		return eris.Errorf("state %q is not known", byte(p.State))
 	}
+	if len(p.DoneOccurrences) > maxOccurrences {
+		return eris.Errorf("%d occurrences; a job has up to %d", len(p.DoneOccurrences), maxOccurrences)
+	}
 	for _, s := range p.Steps {
 		if s.Occurrence < 0 || s.Step < 0 || s.LastRun < 0 {
 			return eris.Errorf("occurrence %d, step %d or run %d is negative", s.Occurrence, s.Step, s.LastRun)
