Compress the progress of a job whose record would be too long

Change: a record that is too long is compressed, after its done occurrences have been summed up. Previous builds cannot decode it, so that they take over nothing of that job rather than run parts of it again; the record could not be stored before. What is decompressed is bounded, and a record that cannot be read counts as one with open runs.

--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -181,9 +181,6 @@
 	return true
 }
 
-// openRunsMarker occurs in encoded progress that lists open runs.
-var openRunsMarker = []byte(`"o":[`)
-
 // setProgress stores a job's recorded progress and its state. Of a finished
 // job without open runs only the state is retained. apply calls it with r.mu
 // held for each record of progress.
@@ -195,7 +192,7 @@
 		return
 	}
 	e.state = state
-	e.hasOpenRuns = bytes.Contains(value, openRunsMarker)
+	e.hasOpenRuns = cell.HasOpenRuns(value)
 	e.progress = bytes.Clone(value)
 	if !e.state.IsFinal() {
 		return
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -28,9 +28,8 @@
 	openOccurrences int
 	submittedAt     time.Duration
 	finishedAt      time.Time
-	// hasSummary is true once the record of the job was too long without a summary of the
-	// occurrences that are done.
-	hasSummary bool
+	// hasLongRecord is true once the record of the job was too long for the store.
+	hasLongRecord bool
 	// openRuns counts the runs that are not closed.
 	openRuns int
 }
@@ -430,20 +429,20 @@
 	m.emit(JobFinished{Job: j.def.ID})
 }
 
-// encodeProgress returns the value of the job's progress record, with the occurrences
-// that are done summed up once it would be too long for the store: the store would refuse
-// the batches of all jobs with it. TakeBatch calls it for each job that has changed.
+// encodeProgress returns the value of the job's progress record. Once it would be too long
+// for the store, the occurrences that are done are summed up and it is compressed: the store
+// would refuse the batches of all jobs with it. TakeBatch calls it for each job that has changed.
 func (j *job) encodeProgress() ([]byte, error) {
 	p := j.progress()
-	if !j.hasSummary {
+	if !j.hasLongRecord {
 		value, err := cell.EncodeProgress(p)
 		if err != nil || 1+len(cell.ProgressKey(j.def.ID))+len(value) <= cell.MaxRecordBytes {
 			return value, err
 		}
-		j.hasSummary = true
+		j.hasLongRecord = true
 	}
 	j.sumUpDoneOccurrences(p)
-	return cell.EncodeProgress(p)
+	return cell.EncodeLongProgress(p)
 }
 
 // sumUpDoneOccurrences replaces the steps of occurrences that are done by a character for
--- a/internal/cell/owner/recordsize_test.go
+++ b/internal/cell/owner/recordsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -44,13 +45,14 @@
 	is.Equal(max(f.takeLargest(), cell.MaxRecordBytes), cell.MaxRecordBytes)
 }
 
-// TestProgressOfALargeJobFitsARecord is the same for a job with the most tasks that runs as a whole, after each task has failed.
+// TestProgressOfALargeJobFitsARecord is the same for a job with the most tasks that runs as a whole, each task on a worker of its own with a long id, after each task has failed.
 func TestProgressOfALargeJobFitsARecord(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 1000)
+	rng := rand.New(rand.NewPCG(1, 1))
 	progress := cell.StepProgress{LastRun: 12_000}
 	for i := range cell.MaxTasksPerJob {
-		progress.OpenRuns = append(progress.OpenRuns, cell.OpenRun{Index: i, Run: 12_000 - i, Worker: fmt.Sprintf("i-%010x", i%1300), Born: 1_765_000_000_000})
+		progress.OpenRuns = append(progress.OpenRuns, cell.OpenRun{Index: i, Run: 12_000 - i, Worker: fmt.Sprintf("worker-%010x-%018x", i, rng.Uint64()), Born: 1_765_000_000_000 + rng.Int64N(1_000_000_000)})
 		progress.SetFailedRuns(i, 1)
 	}
 	job := newJob("j", newStep(cell.MaxTasksPerJob, 500))
@@ -76,7 +78,7 @@
 	}}})
 	j := f.m.jobs["j"]
 	plain := j.progress()
-	j.hasSummary = true
+	j.hasLongRecord = true
 	value, err := j.encodeProgress()
 	is.NoErr(err)
 	recorded, err := cell.DecodeProgress(value)
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -53,8 +56,8 @@
 	// Steps has only the steps about which there is something to record.
 	Steps []StepProgress `json:"p,omitempty"`
 	// DoneOccurrences has one character per released occurrence: '1' if all its steps are
-	// done, in which case Steps has only those of them that have open runs. It is empty in a
-	// record that fits the store without it, which previous builds can read.
+	// done, in which case Steps has only those of them that have open runs. It is only used
+	// with EncodeLongProgress: previous builds take a missing step as one that has not run.
 	DoneOccurrences string `json:"n,omitempty"`
 	// FinishedAt is when the job reached a final state, in Unix seconds; 0 before.
 	FinishedAt int64 `json:"t,omitempty"`
@@ -112,14 +115,73 @@
 	return append([]byte{byte(p.State)}, body...), nil
 }
 
-// DecodeProgress decodes a value that EncodeProgress returned. A new owner calls it
-// for each unfinished job.
+// EncodeLongProgress is EncodeProgress for a record that would be too long for the store:
+// the JSON is compressed. Previous builds cannot decode it. The owner calls it.
+func EncodeLongProgress(p *Progress) ([]byte, error) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode progress")
+	}
+	var out bytes.Buffer
+	out.WriteByte(byte(p.State))
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(body); err != nil {
+		return nil, eris.Wrap(err, "compress progress")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress progress")
+	}
+	return out.Bytes(), nil
+}
+
+const (
+	// gzipStart is the first byte of compressed JSON.
+	gzipStart = 0x1f
+	// maxProgressBytes bounds the JSON of a record of progress that is decompressed. The
+	// longest one has some hundred bytes for each task of a job.
+	maxProgressBytes = 8 << 20
+)
+
+// progressBody returns the JSON of a value of EncodeProgress or EncodeLongProgress.
+func progressBody(value []byte) ([]byte, error) {
+	body := value[1:]
+	if len(body) == 0 || body[0] != gzipStart {
+		return body, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	body, err = io.ReadAll(io.LimitReader(r, maxProgressBytes+1))
+	if err == nil && len(body) > maxProgressBytes {
+		err = eris.Errorf("more than %d bytes", maxProgressBytes)
+	}
+	return body, err
+}
+
+// openRunsMarker occurs in the JSON of progress that lists open runs.
+var openRunsMarker = []byte(`"o":[`)
+
+// HasOpenRuns reports whether the value of a progress record lists open runs. Every entry
+// VM calls it for each record that it reads. A record that cannot be decompressed counts as
+// one with open runs, so that it is not dropped.
+func HasOpenRuns(value []byte) bool {
+	body, err := progressBody(value)
+	return err != nil || bytes.Contains(body, openRunsMarker)
+}
+
+// DecodeProgress decodes a value that EncodeProgress or EncodeLongProgress returned. A new
+// owner calls it for each unfinished job.
 func DecodeProgress(value []byte) (*Progress, error) {
 	if len(value) == 0 {
 		return nil, eris.New("progress record is empty")
 	}
+	body, err := progressBody(value)
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress progress")
+	}
 	p := &Progress{State: State(value[0])}
-	if err := json.Unmarshal(value[1:], p); err != nil {
+	if err := json.Unmarshal(body, p); err != nil {
 		return nil, eris.Wrap(err, "decode progress")
 	}
 	if err := p.validate(); err != nil {
