--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -69,6 +69,9 @@
 	// FormerRenewalsMS is for how many milliseconds after this record was sent an owner
 	// of an earlier term may renew leases: 0 if that is not known, else at least 1.
 	FormerRenewalsMS int64 `json:"f,omitempty"`
+	// Leases bounds the leases of the workers that do not answer the owner; nil if that
+	// is not known.
+	Leases *Leases `json:"l,omitempty"`
 }
 
 // Options are the identity of this VM and the callbacks of an Election. The
@@ -93,6 +96,11 @@
 	// clock of Now, is when the call was sent that shows it: the process may have been
 	// paused since.
 	OnHeartbeat func(sentAt time.Duration)
+	// Leases returns what the next heartbeat records about leases and the version of
+	// it, or nil to repeat what FindFormerRenewalsEnd has read. OnLeases is called with
+	// the version when the store has accepted it. Both may be nil.
+	Leases   func() (bounds []LeaseBound, version int64)
+	OnLeases func(version int64)
 	// Log writes a message with key-value pairs to the log.
 	Log func(message string, details ...any)
 }
@@ -124,6 +132,9 @@
 	// other goroutines.
 	heartbeatOffset atomic.Int64
 	lastRecord      OwnerRecord
+	// isNewestUnreadable is true if the newest record could not be decoded, as one of another
+	// build. lastRecord is then the zero value, although the cell has an owner.
+	isNewestUnreadable bool
 	// ownedAt is when the call was sent that last showed that this VM owns the cell.
 	ownedAt time.Duration
 	// returnedTerm is the last term that Campaign has returned. No term is returned
@@ -138,6 +149,8 @@
 	// formerRenewalsEnd is until when an owner of an earlier term may renew leases, on
 	// the clock of Options.Now; 0 if that is not known.
 	formerRenewalsEnd atomic.Int64
+	// formerLeases are the bounds that the former owner recorded, nil if not known.
+	formerLeases atomic.Pointer[[]LeaseBound]
 	// suspects receives the instance of an owner whose process is reported to have
 	// ended.
 	suspects chan string
@@ -256,15 +269,18 @@
 }
 
 // waitForOtherClaims waits for ClaimDelay, so that VMs with a shorter delay can
-// claim, and reports whether none of them did. The successor that the owner named
-// does not wait. Campaign calls it before each claim.
+// claim, and reports whether none of them did and the owner has not sent another
+// heartbeat. The successor that the owner named does not wait. Campaign calls it before
+// each claim.
 func (e *Election) waitForOtherClaims(ctx context.Context) (unclaimed bool, err error) {
-	instance := e.lastRecord.Instance
+	instance, offset := e.lastRecord.Instance, e.nextOffset
 	if e.isSuccessor() {
 		return true, nil
 	}
 	e.sleep(ctx, e.opts.ClaimDelay)
-	return e.confirmLastOwner(ctx, instance)
+	isLast, err := e.confirmLastOwner(ctx, instance)
+	ownerIsBack := e.nextOffset > offset && !e.isKnownToHaveEnded(e.lastRecord)
+	return isLast && !ownerIsBack, err
 }
 
 // loadNewest reads the newest record and the offset after it. Campaign calls it first,
@@ -419,9 +435,10 @@
 		var rec OwnerRecord
 		if err := json.Unmarshal(r.Value, &rec); err != nil {
 			e.opts.Log("owner record cannot be decoded", "error", err.Error())
+			e.lastRecord, e.isNewestUnreadable = OwnerRecord{}, true
 			continue
 		}
-		e.lastRecord = rec
+		e.lastRecord, e.isNewestUnreadable = rec, false
 		e.opts.OnRecord(rec)
 	}
 }
@@ -436,8 +453,9 @@
 // calls it once the owner is down and no other VM has claimed the cell.
 func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
 	rec := OwnerRecord{Term: max(e.lastRecord.Term, e.nextOffset) + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
-	e.former = formerOwner{record: e.lastRecord, hasEnded: e.isKnownToHaveEnded(e.lastRecord), lastOffset: e.nextOffset - 1}
+	e.former = formerOwner{record: e.lastRecord, hasEnded: e.isKnownToHaveEnded(e.lastRecord), lastOffset: e.nextOffset - 1, knownAt: e.lastRecordKnownAt()}
 	e.formerRenewalsEnd.Store(0)
+	e.formerLeases.Store(nil)
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	var conflict *cell.ConflictError
@@ -446,7 +464,7 @@
 		e.ownedAt = sentAt
 		e.nextOffset = end
 		e.heartbeatOffset.Store(end)
-		e.lastRecord = rec
+		e.lastRecord, e.isNewestUnreadable = rec, false
 		e.opts.OnRecord(rec)
 		e.opts.Log("claimed the cell", "term", rec.Term, "offset", end)
 		return rec.Term, true, nil
@@ -531,12 +549,17 @@
 // earlier heartbeat of this VM whose answer was lost; that one then counts as accepted.
 func (e *Election) writeHeartbeat(ctx context.Context) error {
 	rec := OwnerRecord{Term: e.lastRecord.Term, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance, FormerRenewalsMS: e.formerRenewalsMS()}
+	var leasesVersion int64
+	rec.Leases, leasesVersion = e.leases()
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	if err == nil {
 		e.nextOffset = end
 		e.heartbeatOffset.Store(end)
 		e.opts.OnHeartbeat(sentAt)
+		if e.opts.OnLeases != nil && leasesVersion > 0 {
+			e.opts.OnLeases(leasesVersion)
+		}
 		return nil
 	}
 	var conflict *cell.ConflictError
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -59,6 +59,7 @@
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
+	"gypsumwinch/internal/cell/owner"
 	"gypsumwinch/internal/structs"
 )
 
@@ -115,6 +116,7 @@
 	workers     cell.WorkerClient
 	advisor     cell.Advisor
 	decoder     Decoder
+	logWriter   *asyncWriter
 	log         hclog.Logger
 	metrics     *metrics
 	panics      panicReporter
@@ -130,7 +132,10 @@
 
 	// ownerRecord is the newest owner record that this VM has received.
 	ownerRecord atomic.Pointer[election.OwnerRecord]
-	mu          sync.Mutex
+	// leaseStatement is what heartbeats of this VM record about the leases of workers
+	// that do not answer; nil while it is not the owner and during its takeover.
+	leaseStatement atomic.Pointer[owner.LeaseStatement]
+	mu             sync.Mutex
 	// loop is the control loop while this VM owns the cell. Guarded by mu.
 	loop *controlLoop
 	// peerClients are the clients of other VMs, by address. Guarded by mu.
@@ -176,20 +181,25 @@
 	// ownershipCtx ends when this VM may no longer own the cell.
 	ownershipCtx    context.Context
 	cancelOwnership context.CancelFunc
+	// takeoverTimeout bounds a takeover that fails; see defaultTakeoverTimeout.
+	takeoverTimeout time.Duration
 }
 
 // New returns a node that has not started. It writes log lines to out. The
 // daemon (cmd/gypsumwinchd) calls it once when it starts.
 func New(settings Settings, ports Ports, out io.Writer) *Node {
+	logWriter := newAsyncWriter(out)
 	n := &Node{
 		settings:        settings,
-		log:             newLogger(out, settings.Name),
+		logWriter:       logWriter,
+		log:             newLogger(logWriter, settings.Name),
 		replica:         newReplica(),
 		instance:        ulid.Make().String(),
 		startedAt:       bootTime(),
 		peerClients:     map[string]cellpb.Cell{},
 		proxyCandidates: map[string]proxyCandidate{},
 		httpClient:      newPeerHTTPClient(),
+		takeoverTimeout: defaultTakeoverTimeout,
 	}
 	n.metrics = newMetrics(func() float64 { return float64(n.replica.size()) })
 	n.panics = panicReporter{log: n.log, metrics: n.metrics}
@@ -203,6 +213,8 @@
 	n.ownershipCtx, n.cancelOwnership = context.WithCancel(context.Background())
 	n.jobsReader = n.newTopicReader(cell.TopicJobs, n.applyReadJobRecords)
 	n.progressReader = n.newTopicReader(cell.TopicProgress, n.applyProgressRecords)
+	n.jobsReader.knownKeys = n.replica.submissionKeys
+	n.progressReader.knownKeys = n.replica.progressKeys
 	n.configReader = n.newTopicReader(cell.TopicConfig, n.applyConfigRecords)
 	n.committer = newCommitter(n.commit, n.storeRouter.lastLatency, n.log, func() time.Duration { return time.Duration(n.jobsReader.lastReadAt.Load()) })
 	n.election = election.New(n.store, election.Options{
@@ -215,6 +227,8 @@
 		StoreLatency: n.storeRouter.lastLatency,
 		OnRecord:     n.setOwnerFromStore,
 		OnHeartbeat:  n.heartbeatAccepted,
+		Leases:       n.statedLeases,
+		OnLeases:     n.leaseStatementAccepted,
 		Log:          func(message string, details ...any) { n.log.Info(message, details...) },
 	})
 	return n
@@ -273,12 +287,14 @@
 	return n.hasReadProgress() && bootTime()-time.Duration(n.jobsReader.lastSentAt.Load()) < maxAbsenceAge
 }
 
-// hasReadProgress reports whether this VM has read topic progress since it loaded the
-// jobs. Before that it does not know a job that has ended and whose submission was
-// deleted before the load. The owner has read it in its takeover, after it had fenced
-// the former owner.
+// hasReadProgress reports whether this VM knows the states that were recorded before it
+// loaded the jobs. Otherwise it does not know a job that has ended and whose submission was
+// deleted before the load. A follower has read topic progress since the load. An owner
+// has recorded all states itself if it still owned the cell after the load: a heartbeat
+// that was sent later has been accepted. Without one it may have been deposed.
 func (n *Node) hasReadProgress() bool {
-	return n.activeLoop() != nil || n.progressReader.lastSentAt.Load() >= n.jobsReader.loadedAt.Load()
+	loadedAt := n.jobsReader.loadedAt.Load()
+	return n.progressReader.lastSentAt.Load() >= loadedAt || n.activeLoop() != nil && n.heartbeatAt.Load() >= loadedAt
 }
 
 // claimDelay returns how long a VM waits before it claims the cell. VMs with
@@ -327,6 +343,7 @@
 	}
 	wg.Wait()
 	n.log.Info("node has stopped")
+	n.logWriter.flush(logFlushTimeout)
 	return nil
 }
 
@@ -505,7 +522,7 @@
 // of Campaign or of SendHeartbeats.
 func (n *Node) setOwnerFromStore(r election.OwnerRecord) {
 	// Other VMs do not report it, and records are compared with theirs.
-	r.FormerRenewalsMS = 0
+	r.FormerRenewalsMS, r.Leases = 0, nil
 	old := n.ownerRecord.Swap(&r)
 	if old == nil || old.Term != r.Term || old.Resigned != r.Resigned {
 		n.log.Info("owner of the cell", "owner", r.Node, "term", r.Term, "resigned", r.Resigned)
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -134,7 +134,7 @@
 		resp.Peers = n.knownPeers()
 	}
 	if req.WantPending && n.knowsAllJobs() {
-		resp.Pending = n.replica.pendingCounts()
+		resp.Pending, resp.HasPending = n.replica.pendingCounts(), true
 	}
 	n.updateProxyCandidate(req.Addr, req.StoreAnswers, req.Follows)
 	if n.holdsTerm.Load() {
@@ -143,6 +143,8 @@
 		// the loading.
 		resp.Well = n.hasRecentHeartbeat()
 		resp.Offset = n.election.HeartbeatOffset()
+	} else {
+		resp.Offset = noTermOffset
 	}
 	// Read after the offset: a later offset with an earlier term would skip records.
 	resp.Owner = n.ownerToProto()
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -91,6 +91,15 @@
 	storeReachedAt time.Duration
 	// formerRenewalsEnd is until when a former owner may renew leases.
 	formerRenewalsEnd time.Duration
+	// formerBounds are the bounds that the former owner recorded, by worker id.
+	formerBounds map[string]LeaseBound
+	// leaseStatement is the present statement, nil before the first Tick.
+	leaseStatement *LeaseStatement
+	// haveBoundsChanged is true if bounds may be lower than those of leaseStatement.
+	haveBoundsChanged bool
+	// removedStated is statedInVersion of the workers that were removed while their
+	// lease was stated, by id.
+	removedStated map[string]int64
 
 	dirtyJobs map[cell.JobID]*job
 	// startedJobs are the jobs whose first task has started since
@@ -140,6 +149,8 @@
 		dirtyJobs:      map[cell.JobID]*job{},
 		startedJobs:    map[cell.JobID]*job{},
 		pendingBatches: map[int]*batch{},
+		formerBounds:   map[string]LeaseBound{},
+		removedStated:  map[string]int64{},
 	}
 }
 
@@ -173,6 +184,9 @@
 		m.storeReachedAt = max(m.storeReachedAt, e.SentAt)
 	case FormerOwnersFenced:
 		m.formerRenewalsEnd = e.RenewalsEnd
+		m.keepFormerBounds(e.Bounds)
+	case LeaseStatementStored:
+		m.handleLeaseStatementStored(e.Version)
 	case Tick:
 		m.tick()
 	}
@@ -211,11 +225,10 @@
 // tick does what is due at the current time; it runs for each Tick, which
 // package node applies at a short fixed interval. It releases occurrences
 // that are due and marks started jobs for recording. It calls workers that have not
-// answered this owner. For each worker it
-// closes the runs of an expired lease, sends the next renewal, repeats
-// unanswered start and stop requests and removes the worker if it is unused.
-// It requests a scheduling cycle if steps are waiting, and advances the
-// cursors of all workers if nothing waits to be recorded.
+// answered this owner. For each worker it closes the runs of an expired lease, sends the
+// next renewal, repeats unanswered start and stop requests and removes the worker if it is
+// unused. It requests a scheduling cycle if steps are waiting, and advances the cursors of
+// all workers if nothing waits to be recorded.
 func (m *Machine) tick() {
 	m.releaseDueOccurrences()
 	m.flushStartedJobs()
@@ -223,6 +236,7 @@
 	for _, w := range m.sortedWorkers {
 		m.tickWorker(w)
 	}
+	m.updateLeaseStatement()
 	if len(m.waitingSteps) > 0 {
 		m.isCycleNeeded = true
 	}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -55,6 +55,10 @@
 	// hasUnansweredStart is true once a start request got no answer; the worker
 	// may still carry it out.
 	hasUnansweredStart bool
+	// hasMoved is true once the worker has restarted while the run was open. The new
+	// incarnation does not remember that the former one had the run, so it carries out a
+	// start request that arrives late.
+	hasMoved bool
 	// mustResend is true while the start request has to be sent again.
 	mustResend  bool
 	isRecovered bool
@@ -143,6 +147,16 @@
 	}
 }
 
+// stopWithGang stops a run and, if it is a member of a gang, the others with it: they would
+// hold their capacity until the stop of this one is acknowledged, and then end alone. It runs
+// when the start of the run may still be carried out but is not wanted any more.
+func (m *Machine) stopWithGang(r *run, reason string) {
+	m.stopRun(r)
+	if r.step != nil && r.step.def.Gang {
+		m.stopGang(r.step, reason)
+	}
+}
+
 // stopRun stops a run. A run whose start request was not sent is closed at
 // once; otherwise a stop request is sent once no other request about the run
 // is in flight, and the run stays open until an inventory shows that it has
@@ -179,6 +193,13 @@
 	}
 }
 
+// mayStartLate reports whether a worker that does not list the run may still start it: a
+// start request without an answer may reach an incarnation that has neither had the run nor
+// been told to stop it. reconcile then stops the run before it closes it.
+func (r *run) mayStartLate() bool {
+	return r.hasUnansweredStart && r.hasMoved && !r.isStopAcknowledged
+}
+
 // sendRecordedStarts sends the start requests of runs whose records are
 // stored. handleBatchStored calls it with the planned runs of the batch. A
 // run whose worker or ticket has become unusable since then is closed instead.
@@ -232,7 +253,7 @@
 		Worker:     w.info.ID,
 		Addr:       w.info.Addr,
 		Spec:       r.job.def.Spec,
-		LeaseEnd:   m.extendLease(w),
+		LeaseEnd:   m.startLease(w),
 		Token:      m.opts.Term,
 		Checkpoint: r.step.checkpointOf(r.id.Index),
 		Ticket:     r.ticket,
@@ -359,7 +380,7 @@
 		w.nextRenewalAt = m.now.Mono
 	}
 	if r.hasUnansweredStart && refusal != cell.RefusedIncarnation {
-		m.stopRun(r)
+		m.stopWithGang(r, "start of a member was refused")
 		return
 	}
 	m.closeRun(r, "start refused")
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -28,6 +28,15 @@
 	clockReadAt time.Duration
 	// leaseEnd is the latest lease end that was sent, on the worker's clock.
 	leaseEnd time.Duration
+	// formerLeaseEnd is the latest lease end that a former owner may have left, on the
+	// worker's clock.
+	formerLeaseEnd time.Duration
+	// isLeaseNamed is true while the present LeaseStatement names the worker.
+	// isLeaseStated is true while a record in the store may name it, statedInVersion
+	// is the last statement that did.
+	isLeaseNamed    bool
+	isLeaseStated   bool
+	statedInVersion int64
 
 	isRenewalInFlight bool
 	// renewalSentAt is when the last renewal was sent.
@@ -82,6 +91,7 @@
 func (m *Machine) addWorker(id string) *worker {
 	w := &worker{info: cell.Worker{ID: id}, runs: map[runKey]*run{}}
 	m.workers[id] = w
+	m.restoreStated(w)
 	index := sort.Search(len(m.sortedWorkers), func(i int) bool { return m.sortedWorkers[i].info.ID >= id })
 	m.sortedWorkers = append(m.sortedWorkers, nil)
 	copy(m.sortedWorkers[index+1:], m.sortedWorkers[index:])
@@ -162,7 +172,7 @@
 	w.info.Born = startedAt
 	w.hasAnswered = false
 	// The longest lease that the new incarnation may have granted begins now.
-	w.clockReadAt, w.clock, w.leaseEnd = m.now.Mono, 0, 0
+	w.clockReadAt, w.clock, w.leaseEnd, w.formerLeaseEnd = m.now.Mono, 0, 0, 0
 	w.processedCursor, w.recordedCursor, w.acceptedCursor, w.cursorInFlight = 0, 0, 0, 0
 	w.unknownRuns = 0
 	w.nextRenewalAt = m.now.Mono
@@ -186,10 +196,11 @@
 	}
 	r.workerStartedAt = startedAt
 	r.isStopAcknowledged = false
+	r.hasMoved = true
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
 		r.phase = phaseRunning
-		m.stopRun(r)
+		m.stopWithGang(r, "worker of a member has restarted")
 	}
 }
 
@@ -199,6 +210,9 @@
 	if w.isListed || len(w.runs) > 0 || m.workers[w.info.ID] != w {
 		return
 	}
+	if w.isLeaseStated {
+		m.removedStated[w.info.ID] = w.statedInVersion
+	}
 	delete(m.workers, w.info.ID)
 	for i, o := range m.sortedWorkers {
 		if o == w {
@@ -216,7 +230,7 @@
 // isUsable reports whether a worker may get new tasks.
 func (m *Machine) isUsable(w *worker) bool {
 	return w.isListed && w.hasAnswered && !w.info.Draining && w.unknownRuns == 0 &&
-		w.failedRenewals == 0 && !m.isUnresponsive(w) && m.now.Mono >= w.backoffUntil
+		w.failedRenewals == 0 && !w.isLeaseStated && !m.isUnresponsive(w) && m.now.Mono >= w.backoffUntil
 }
 
 // estimatedClock estimates the present reading of a worker's clock.
@@ -227,18 +241,11 @@
 // isLeaseExpired reports whether a worker's lease has certainly expired,
 // even on the slowest clock, so that no run of it exists any more.
 // closeExpiredRuns calls it.
-func (m *Machine) isLeaseExpired(w *worker) bool {
-	if !w.hasAnswered {
-		longestLease := time.Duration(float64(m.opts.LeaseLimit)/minClockRate) + leaseMargin
-		return m.now.Mono-m.lastRenewalAt(w) > longestLease
-	}
-	elapsed := float64(m.now.Mono-w.clockReadAt-leaseMargin) * minClockRate
-	return w.clock+time.Duration(elapsed) > w.leaseEnd
-}
+func (m *Machine) isLeaseExpired(w *worker) bool { return m.now.Mono > m.leaseBound(w) }
 
 // lastRenewalAt returns the latest time at which the lease of a worker that has not
 // answered this owner may have been renewed: by a former owner or, if the worker has
-// restarted since, by a request that was under way. isLeaseExpired calls it.
+// restarted since, by a request that was under way. leaseBound calls it.
 func (m *Machine) lastRenewalAt(w *worker) time.Duration {
 	latest := max(m.formerRenewalsEnd, m.startedAt+lateRequestMargin)
 	if w.clockReadAt > m.startedAt {
@@ -408,20 +415,33 @@
 }
 
 // extendLease returns the lease end to send with a renewal or a start
-// request. It does not extend the lease of a worker that does not answer, or
-// if the store has not accepted a heartbeat of this owner for
-// AuthorityTimeout, so that the lease expires at a known time.
+// request. It does not extend the lease of a worker that does not answer, that
+// a recorded LeaseStatement may name, or if the store has not accepted a heartbeat
+// of this owner for AuthorityTimeout, so that the lease expires at a known time.
 func (m *Machine) extendLease(w *worker) time.Duration {
 	if !w.hasAnswered {
 		return 0
 	}
-	if w.failedRenewals > 0 || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
+	if w.failedRenewals > 0 || w.isLeaseStated || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
 		return w.leaseEnd
 	}
 	w.leaseEnd = max(w.leaseEnd, w.estimatedClock(m.now.Mono)+m.opts.LeaseLimit)
 	return w.leaseEnd
 }
 
+// startLease returns the lease end to send with a start request: the present one while it
+// lasts for minStartLease. A worker may be gone for as long as a renewal waits there; a start
+// request that extended the lease would prolong the wait for the runs of such a worker.
+func (m *Machine) startLease(w *worker) time.Duration {
+	if w.leaseEnd-w.estimatedClock(m.now.Mono) >= minStartLease {
+		return w.leaseEnd
+	}
+	return m.extendLease(w)
+}
+
+// minStartLease is two intervals of renewals.
+const minStartLease = 2 * idlePollTimeout
+
 // handleRenewal processes a RenewResult: it updates the worker's clock,
 // compares the inventory with the known runs and sends the next renewal if
 // that is due.
@@ -453,6 +473,7 @@
 	w.failedRenewals = 0
 	if !w.hasAnswered {
 		w.hasAnswered = true
+		w.formerLeaseEnd = inv.Clock + m.opts.LeaseLimit
 		m.isCycleNeeded = true
 	}
 	m.reconcile(w, e.SentAt, inv)
@@ -473,13 +494,40 @@
 		// The start time of the new incarnation arrives with its entry in the
 		// store.
 		w.hasAnswered = false
+		if e.SentAt >= w.incarnationSeenAt {
+			m.closeReplacedRuns(w)
+		}
 	}
 	w.failedRenewals++
+	if w.failedRenewals == 1 {
+		m.awaitLeases(w)
+	}
 	if w.failedRenewals == 3 {
 		m.logDecision(w.info.ID, "worker does not answer", "open_runs", len(w.runs), "refused", string(e.Refusal), "error", errText(e.Err))
 	}
 }
 
+// closeReplacedRuns closes the runs of a worker at whose address another worker answers: the
+// process that had them has ended. A run of an incarnation that is later than the listed one
+// may be at another address. handleFailedRenewal calls it.
+func (m *Machine) closeReplacedRuns(w *worker) {
+	for _, r := range slices.Clone(w.runList) {
+		if r.phase != phasePlanned && r.phase != phaseRecording && r.workerStartedAt <= w.info.Born {
+			m.closeRun(r, "lost: worker has been replaced")
+		}
+	}
+}
+
+// awaitLeases makes scheduling cycles consider the steps with runs on a worker that does not
+// answer; see prefetchAdvice. handleFailedRenewal calls it.
+func (m *Machine) awaitLeases(w *worker) {
+	for _, r := range w.runList {
+		if s := r.step; s != nil && s.isReady && s.doneTasks < len(s.tasks) && !r.job.state.IsFinal() {
+			m.waitingSteps[s.id] = s
+		}
+	}
+}
+
 // renewalRetryDelay returns the delay before a failed renewal is sent again: it grows with
 // the number of workers that do not answer, up to maxRenewalRetryDelay, since each try
 // opens a connection: with 510 workers cut off, the owner opened 1,900 in a second.
@@ -528,7 +576,12 @@
 	}
 	for _, r := range slices.Clone(w.runList) {
 		key := runKey{r.taskName, r.number}
-		if !listed[key] && r.mustBeListed(sentAt) {
+		switch {
+		case listed[key] || !r.mustBeListed(sentAt):
+		case r.mayStartLate():
+			r.phase = phaseRunning // also of a run whose gang was expected to end
+			m.stopWithGang(r, "member not listed after a restart")
+		default:
 			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
 			m.closeRun(r, "not listed")
 		}
