Collect garbage less often on the VM that owns the cell

Change: the daemon sets GOGC to 200 while its VM owns the cell, instead of 100. The memory limit holds as before.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -42,6 +42,9 @@
 	// gcPercent is the garbage collection target (GOGC). A higher value uses
 	// less processor time and more memory; the platform charges for both.
 	gcPercent = 100
+	// ownerGCPercent is that of the VM that owns the cell, whose processor time every
+	// caller waits for.
+	ownerGCPercent = 200
 	// Limits of connections to the callers' and readiness listeners. The
 	// platform operators' limits are the same at all sites known so far.
 	headerTimeout  = 3 * time.Second
@@ -202,5 +205,16 @@
 		StatusRetention: s.StatusRetention,
 		Grace:           s.GracePeriod,
 		RemoteFactor:    s.RemoteFactor,
+		OnOwnership:     setGCPercent,
 	}
 }
+
+// setGCPercent sets the garbage collection target of a VM that owns the cell or does not.
+// The node calls it when that changes.
+func setGCPercent(ownsCell bool) {
+	if ownsCell {
+		debug.SetGCPercent(ownerGCPercent)
+		return
+	}
+	debug.SetGCPercent(gcPercent)
+}
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -177,6 +177,10 @@
 func (c *controlLoop) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if notify := c.node.settings.OnOwnership; notify != nil {
+		notify(true)
+		defer notify(false)
+	}
 	c.advice = newAdviceDispatcher(c.node.advisor.Ask, func(a adviceResult) {
 		select {
 		case c.adviceResults <- a:
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -86,6 +86,9 @@
 	// Grace is the time between SIGTERM and SIGKILL. The node does not use it.
 	Grace        time.Duration
 	RemoteFactor float64
+	// OnOwnership, if set, is called when this VM begins to own the cell, with true, and
+	// when that ends. The calls do not overlap.
+	OnOwnership func(owns bool)
 }
 
 // Decoder decodes records of topics that other programs write.
