Test that a failed end does not count after its lease has lapsed

RULES.md counts an end once it is taken note of, that is when the cursor reaches it, "unless the minion's lease lapsed between the two". A run without an answer is given up only after the lease has lapsed on the slowest clock, and the end of a run that a former owner processed is recorded with it. So such an end does not count, and counting it could show a job as failed without cause, or count an end twice that a former owner has recorded.

--- a/internal/cell/owner/leases_test.go
+++ b/internal/cell/owner/leases_test.go
@@ -145,3 +145,23 @@
 	f.apply(Tick{})
 	is.Equal(len(f.m.workers["w"].runs), 1)
 }
+
+// TestFailedEndAfterALapseIsNotCounted guards against a job that fails for an attempt which the platform does not count: the lease lapsed before the end was taken note of.
+func TestFailedEndAfterALapseIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	start := startOneTask(f)
+	f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: start.Worker})
+	w := f.m.workers["w"]
+	bound := f.m.leaseBound(w)
+	f.silence(bound - 50*time.Millisecond)
+	is.Equal(len(w.runs), 1) // until the lease has lapsed, an end that is listed counts
+	f.silence(bound + 50*time.Millisecond)
+	is.Equal(len(w.runs), 0)
+	f.finishedRuns = []cell.FinishedRun{{Number: 1, Task: start.Task.String(), Run: start.Run, Outcome: cell.OutcomeFailed}}
+	f.answerRenewal()
+	task := &f.m.jobs["j"].steps[start.Task.StepID].tasks[0]
+	is.Equal(task.failedRuns, 0)
+	is.True(!f.m.jobs["j"].state.IsFinal())
+	is.Equal(w.processedCursor, int64(1))
+}
