--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -345,8 +345,11 @@
 // workers, then the others, both before those are called again that did not answer. It runs
 // on each Tick.
 func (m *Machine) callNewWorkers() {
-	m.firstContacts = 0
+	m.firstContacts, m.silentWorkers = 0, 0
 	for _, w := range m.sortedWorkers {
+		if w.failedRenewals > 0 {
+			m.silentWorkers++
+		}
 		if !w.hasAnswered && w.isRenewalInFlight && m.now.Mono-w.renewalSentAt < firstContactWindow {
 			m.firstContacts++
 		}
@@ -426,6 +429,19 @@
 	return w.leaseEnd
 }
 
+// startLease returns the lease end to send with a start request: the present one while it
+// lasts for minStartLease. A worker may be gone for as long as a renewal waits there; a start
+// request that extended the lease would prolong the wait for the runs of such a worker.
+func (m *Machine) startLease(w *worker) time.Duration {
+	if w.leaseEnd-w.estimatedClock(m.now.Mono) >= minStartLease {
+		return w.leaseEnd
+	}
+	return m.extendLease(w)
+}
+
+// minStartLease is two intervals of renewals.
+const minStartLease = 2 * idlePollTimeout
+
 // handleRenewal processes a RenewResult: it updates the worker's clock,
 // compares the inventory with the known runs and sends the next renewal if
 // that is due.
@@ -465,11 +481,11 @@
 }
 
 // handleFailedRenewal processes a renewal that failed or was refused: it is
-// repeated after renewalRetryInterval, and the worker gets no new tasks
+// repeated after renewalRetryDelay, and the worker gets no new tasks
 // until one succeeds. If the worker knows a later owner, this owner resigns.
 // handleRenewal calls it.
 func (m *Machine) handleFailedRenewal(w *worker, e RenewResult) {
-	w.nextRenewalAt = m.now.Mono + renewalRetryInterval
+	w.nextRenewalAt = m.now.Mono + m.renewalRetryDelay()
 	switch e.Refusal {
 	case cell.RefusedStaleToken:
 		m.emit(Resign{Reason: "worker " + w.info.ID + " reports a higher fencing token"})
@@ -483,6 +499,9 @@
 		}
 	}
 	w.failedRenewals++
+	if w.failedRenewals == 1 {
+		m.awaitLeases(w)
+	}
 	if w.failedRenewals == 3 {
 		m.logDecision(w.info.ID, "worker does not answer", "open_runs", len(w.runs), "refused", string(e.Refusal), "error", errText(e.Err))
 	}
@@ -499,6 +518,24 @@
 	}
 }
 
+// awaitLeases makes scheduling cycles consider the steps with runs on a worker that does not
+// answer; see prefetchAdvice. handleFailedRenewal calls it.
+func (m *Machine) awaitLeases(w *worker) {
+	for _, r := range w.runList {
+		if s := r.step; s != nil && s.isReady && s.doneTasks < len(s.tasks) && !r.job.state.IsFinal() {
+			m.waitingSteps[s.id] = s
+		}
+	}
+}
+
+// renewalRetryDelay returns the delay before a failed renewal is sent again: it grows with
+// the number of workers that do not answer, up to maxRenewalRetryDelay, since each try
+// opens a connection: with 510 workers cut off, the owner opened 1,900 in a second.
+func (m *Machine) renewalRetryDelay() time.Duration {
+	spread := time.Duration(m.silentWorkers) * time.Second / renewalRetriesPerSecond
+	return max(renewalRetryInterval, min(spread, maxRenewalRetryDelay))
+}
+
 // errText returns the text of an error for a log line, "" for nil.
 func errText(err error) string {
 	if err == nil {
