--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,6 +25,9 @@
 	// submissionAttempts is how often a caller submits a job whose submission was refused
 	// or had no answer.
 	submissionAttempts = 8
+	// impatientShare is the share of the callers that give up after one attempt. A job that
+	// was refused then must not run.
+	impatientShare = 0.2
 	// pollInterval is the time between two questions for the state of a job.
 	pollInterval = 700 * time.Millisecond
 	// visibleAfter is how long an accepted job may be unknown.
@@ -188,7 +191,11 @@
 // was accepted.
 func (cs *callers) submit(j *job, body []byte) (accepted bool) {
 	allRefused := true
-	for range submissionAttempts {
+	attempts := submissionAttempts
+	if rand.Float64() < impatientShare {
+		attempts = 1
+	}
+	for range attempts {
 		resp, err := cs.call(cs.pickVM(), http.MethodPost, j.path, body)
 		switch {
 		case err != nil || resp.status == http.StatusGatewayTimeout || resp.status == http.StatusBadGateway:
