--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -44,9 +44,9 @@
 	cluster *cluster
 	client  *http.Client
 	ready   []atomic.Bool
-	// faultsEnd is closed when the faults are over.
-	faultsEnd chan struct{}
-	// counts
+	// overdue is closed recoveryTimeout after the last fault.
+	overdue chan struct{}
+
 	submitted, accepted, rejected, unknown, completed, failed, cancelled, unanswered atomic.Int64
 	wg                                                                               sync.WaitGroup
 }
@@ -56,7 +56,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	return &callers{
 		cluster: c, client: &http.Client{Transport: transport, Timeout: requestTimeout + 500*time.Millisecond},
-		ready: make([]atomic.Bool, len(c.vms)), faultsEnd: make(chan struct{}),
+		ready: make([]atomic.Bool, len(c.vms)), overdue: make(chan struct{}),
 	}
 }
 
@@ -238,7 +238,7 @@
 // isOverdue reports whether recoveryTimeout has passed since the faults ended.
 func (cs *callers) isOverdue() bool {
 	select {
-	case <-cs.faultsEnd:
+	case <-cs.overdue:
 		return true
 	default:
 		return false
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,6 +13,9 @@
 const (
 	// slowStoreDelay is what a call of a slow store takes longer.
 	slowStoreDelay = 250 * time.Millisecond
+	// linkDelay is the delay of each direction of a slow link. Starts are repeated after
+	// 0.12 s, so that they overlap.
+	linkDelay = 100 * time.Millisecond
 	// storeLossShare is the share of the appends that lose their answers.
 	storeLossShare = 0.3
 	// orderFaultShare is the share of the orders that a worker does not answer.
@@ -77,6 +80,8 @@
 		c.breakLink(f.For, v, v.storeProxy, LinkState{DropRequests: true, DropAnswers: true})
 	case CutStoreAnswers:
 		c.breakLink(f.For, v, v.storeProxy, LinkState{DropAnswers: true})
+	case DelayStore:
+		c.breakLink(f.For, v, v.storeProxy, LinkState{Delay: linkDelay})
 	case ResetStore:
 		v.beginDisruption()()
 		v.storeProxy.Reset()
@@ -124,6 +129,8 @@
 		c.cutWorkers(f, LinkState{DropRequests: true, DropAnswers: true})
 	case CutWorkerAnswers:
 		c.cutWorkers(f, LinkState{DropAnswers: true})
+	case DelayWorkers:
+		c.cutWorkers(f, LinkState{Delay: linkDelay})
 	case LateOrders:
 		late := fleet.OrderFault{LateShare: orderFaultShare, LateBy: 2*time.Second + time.Duration(rand.Int64N(int64(3*time.Second)))}
 		c.disturbOrders(f.For, late)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -54,6 +54,9 @@
 	CutStore Kind = "cut-store"
 	// CutStoreAnswers cuts only the answers of the store to a VM off for For. Target: VM.
 	CutStoreAnswers Kind = "cut-store-answers"
+	// DelayStore delays the calls of a VM and their answers on the link to the store for For.
+	// Target: VM.
+	DelayStore Kind = "delay-store"
 	// ResetStore resets the connections of a VM to the store. Target: VM.
 	ResetStore Kind = "reset-store"
 	// ResetCallers resets the callers' connections to a VM. Target: VM.
@@ -66,6 +69,8 @@
 	CutWorkers Kind = "cut-workers"
 	// CutWorkerAnswers cuts only the answers of a quarter of the workers off for For.
 	CutWorkerAnswers Kind = "cut-worker-answers"
+	// DelayWorkers delays the orders to a quarter of the workers and their answers for For.
+	DelayWorkers Kind = "delay-workers"
 	// LateOrders makes all workers carry out one order in ten 2 to 5 s late, without an
 	// answer, for For.
 	LateOrders Kind = "late-orders"
@@ -83,8 +88,8 @@
 var kinds = []Kind{
 	KillVM, KillOwner, KillOwner, KillAll, PauseVM, PauseOwner, PauseOwner, StopVM, StopOwner, StopAll, ReloadVM,
 	StoreRefuses, StoreSilent, StoreSlow, StoreSlow, StoreLosesAnswers, StoreLate, StoreForgets, StoreTurnsAway, StoreTurnsOwnerAway,
-	CutStore, CutStoreAnswers, ResetStore, ResetCallers,
-	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, LateOrders, LostAnswers, FailingWorkers,
+	CutStore, CutStoreAnswers, DelayStore, ResetStore, ResetCallers,
+	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, DelayWorkers, LateOrders, LostAnswers, FailingWorkers,
 	Publish, PublishSeries,
 }
 
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -21,6 +21,19 @@
 	is.Equal(read, s)
 }
 
+// TestKeptSchedulesCanBePlayed guards against a schedule that once broke a rule and cannot be read any more.
+func TestKeptSchedulesCanBePlayed(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("testdata/*.yaml")
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, file := range files {
+		s, err := ReadSchedule(file)
+		is.NoErr(err)
+		is.True(len(s.Faults) > 0)
+	}
+}
+
 // TestEveryKindIsDrawn guards against a kind of fault that no seed draws.
 func TestEveryKindIsDrawn(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -71,7 +71,7 @@
 	faults.Go(func() {
 		c.play(s.Faults)
 		faultsEndedAt = time.Now()
-		time.AfterFunc(recoveryTimeout, func() { close(cs.faultsEnd) })
+		time.AfterFunc(recoveryTimeout, func() { close(cs.overdue) })
 	})
 	cs.run(s.Traffic, s.JobsPerSecond)
 	faults.Wait()
