--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -32,8 +32,6 @@
 	// sender gave up.
 	DropRequests bool
 	DropAnswers  bool
-	// Refuse closes new connections at once.
-	Refuse bool
 }
 
 // copyBuffer is the size of the blocks that a proxy passes on.
@@ -87,10 +85,6 @@
 		if err != nil {
 			return
 		}
-		if p.State().Refuse {
-			reset(client)
-			continue
-		}
 		go p.serve(client)
 	}
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -106,8 +106,6 @@
 	// LateShare is the share that is not answered and carried out only after LateBy.
 	LateShare float64
 	LateBy    time.Duration
-	// Delay is the time before each order is carried out.
-	Delay time.Duration
 }
 
 // run is one run of a task on a worker.
--- a/standin/fleet/http.go
+++ b/standin/fleet/http.go
@@ -72,8 +72,7 @@
 			status, reason := carryOut(o, time.Now())
 			return status, w.answer(reason)
 		}
-		isLost, lateBy, delay := w.drawFault()
-		time.Sleep(delay)
+		isLost, lateBy := w.drawFault()
 		if lateBy > 0 {
 			time.AfterFunc(lateBy, func() { execute() })
 		}
@@ -96,14 +95,14 @@
 }
 
 // drawFault draws the fault of one order.
-func (w *Worker) drawFault() (isLost bool, lateBy, delay time.Duration) {
+func (w *Worker) drawFault() (isLost bool, lateBy time.Duration) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	fault := w.orderFault
 	if fault.LateShare > 0 && w.fleet.rng.Float64() < fault.LateShare {
 		lateBy = fault.LateBy
 	}
-	return fault.LoseShare > 0 && w.fleet.rng.Float64() < fault.LoseShare, lateBy, fault.Delay
+	return fault.LoseShare > 0 && w.fleet.rng.Float64() < fault.LoseShare, lateBy
 }
 
 // answer returns the response to an order.
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -81,9 +81,6 @@
 	return s.write(workersTopic, e.ID, value)
 }
 
-// RemoveWorker removes the entry of a worker that has left.
-func (s *Server) RemoveWorker(id string) error { return s.write(workersTopic, id, nil) }
-
 func (s *Server) write(topic cell.Topic, key string, value []byte) error {
 	_, err := s.Store.Append(context.Background(), cell.Append{Topic: topic, Records: []cell.KeyValue{{Key: key, Value: value}}, ExpectedEnd: -1})
 	return err
