Draw process identities from the operating system, and compare addresses in the election

Cause: ulid.Make seeds its entropy with the time of day at the start of the process. Two processes that start at the same nanosecond have the same instance. The election takes the newest owner record for this process's own if the instance is equal, as after a claim whose answer was lost, so that the second VM took over the first one's term, with its fencing token, epoch and sequence numbers (log: jamnagar-1 and bhavnagar-2 both ...ARHC4N2T7B7Y107G).

Change: instances come from crypto/rand and name their VM; a record is this process's own only if its address is too. The command-line tools create request and job ids in the same way (the same cause: two operators' publications could have one id).

Evidence: TestClaimOfAnotherVMWithTheSameInstanceIsNotOwn failed before (b owned a's record).

--- a/cmd/gypsumwinch-trace/jobs.go
+++ b/cmd/gypsumwinch-trace/jobs.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
 	"gypsumwinch/internal/callerapi"
 	"gypsumwinch/internal/jobstate"
 	"gypsumwinch/internal/structs"
+	"gypsumwinch/internal/uniqueid"
 	"gypsumwinch/standin/caller"
 )
 
@@ -19,7 +19,7 @@
 // runJob submits a job under a new id and, if it is accepted, waits until it is
 // finished. run calls it for each job event of the trace.
 func (s *sender) runJob(ctx context.Context, job *JobEvent) {
-	id := ulid.Make().String()
+	id := uniqueid.New()
 	t := s.caller.Submit(ctx, "/v1/jobs", callerapi.JobBody{
 		ID: id, Team: job.Team, Class: job.Class, Groups: job.Groups,
 	})
--- a/cmd/gypsumwinch-trace/send.go
+++ b/cmd/gypsumwinch-trace/send.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/oklog/ulid/v2"
 
+	"gypsumwinch/internal/uniqueid"
 	"gypsumwinch/standin/caller"
 	"gypsumwinch/standin/check"
 )
@@ -119,7 +119,7 @@
 // sendRequest sends a request under a new id and adds its result. run calls it
 // for each request event of the trace.
 func (s *sender) sendRequest(ctx context.Context, r *RequestEvent) {
-	id := ulid.Make().String()
+	id := uniqueid.New()
 	s.results.addRequest(s.caller.Request(ctx, id, r.Class, r.NonIdempotent, r.Payload))
 }
 
--- a/cmd/gypsumwinch/config_publish.go
+++ b/cmd/gypsumwinch/config_publish.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/oklog/ulid/v2"
 
 	"gypsumwinch/internal/clusterconfig"
 	"gypsumwinch/internal/operatorapi"
 	"gypsumwinch/internal/records"
+	"gypsumwinch/internal/uniqueid"
 )
 
 // lookupInterval is the pause between two lookups of a publication whose outcome
@@ -109,7 +109,7 @@
 		return req, usagef("-who and -why must both be given and not be empty")
 	}
 	if req.ID == "" {
-		req.ID = ulid.Make().String()
+		req.ID = uniqueid.New()
 	}
 	req.YAML = removeVersionLines(string(data))
 	if !c.reset {
--- a/cmd/gypsumwinch/job_id.go
+++ b/cmd/gypsumwinch/job_id.go
@@ -7,7 +7,8 @@
 	"io"
 
 	"github.com/google/subcommands"
-	"github.com/oklog/ulid/v2"
+
+	"gypsumwinch/internal/uniqueid"
 )
 
 // jobIDCommand implements "gypsumwinch job id".
@@ -38,7 +39,7 @@
 	}
 	id := struct {
 		ID string `json:"id"`
-	}{ulid.Make().String()}
+	}{uniqueid.New()}
 	return reportError(c.settings.print(id, func(w io.Writer) {
 		fmt.Fprintln(w, id.ID)
 	}))
--- a/cmd/gypsumwinch/job_submit.go
+++ b/cmd/gypsumwinch/job_submit.go
@@ -14,6 +14,7 @@
 	"gypsumwinch/internal/callerapi"
 	"gypsumwinch/internal/jobspec"
 	"gypsumwinch/internal/structs"
+	"gypsumwinch/internal/uniqueid"
 )
 
 // jobSubmitCommand implements "gypsumwinch job submit".
@@ -84,7 +85,7 @@
 		job.ID = c.id
 	}
 	if job.ID == "" {
-		job.ID = ulid.Make().String()
+		job.ID = uniqueid.New()
 	}
 	if _, err := ulid.ParseStrict(job.ID); err != nil {
 		return nil, usagef("the job id must be a ULID, as gypsumwinch job id prints, is %q", job.ID)
--- a/cmd/gypsumwinchd/dev.go
+++ b/cmd/gypsumwinchd/dev.go
@@ -7,13 +7,12 @@
 	"os"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"gypsumwinch/internal/clusterconfig"
 	"gypsumwinch/internal/daemon"
 	"gypsumwinch/internal/platform"
 	"gypsumwinch/internal/records"
 	"gypsumwinch/internal/structs"
+	"gypsumwinch/internal/uniqueid"
 	"gypsumwinch/standin"
 )
 
@@ -71,7 +70,7 @@
 		return err
 	}
 	record, err := records.Encode(records.Record{ConfigPublish: &records.ConfigPublish{
-		ID: ulid.Make().String(), Base: records.NoVersion, YAML: string(data),
+		ID: uniqueid.New(), Base: records.NoVersion, YAML: string(data),
 		Who: "dev", Why: "first configuration of the development cell", When: time.Now().UTC(),
 	}})
 	if err != nil {
--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -298,7 +298,13 @@
 // ownsLastRecord reports whether this process wrote the newest record and has not
 // resigned.
 func (e *Election) ownsLastRecord() bool {
-	return e.lastRecord.Instance == e.opts.Instance && !e.lastRecord.Resigned
+	return e.wrote(e.lastRecord) && !e.lastRecord.Resigned
+}
+
+// wrote reports whether this process wrote a record. The address is compared too, so that
+// a VM never takes over the term of another one, whatever instances they have.
+func (e *Election) wrote(r OwnerRecord) bool {
+	return r.Instance == e.opts.Instance && r.Addr == e.opts.Addr
 }
 
 // claim appends a claim of a new term and reports whether this VM won it. Campaign
--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -341,3 +341,24 @@
 		is.Equal(<-term, int64(3))
 	})
 }
+
+// TestClaimOfAnotherVMWithTheSameInstanceIsNotOwn guards against two owners of one term: a VM
+// whose process has the instance of another VM's process takes that VM's claim for its own.
+func TestClaimOfAnotherVMWithTheSameInstanceIsNotOwn(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a, b := loadedElection(t, store, "a"), loadedElection(t, store, "b")
+	b.opts.Instance = a.opts.Instance
+	_, won, err := a.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	is.NoErr(b.loadNewest(context.Background()))
+	is.True(!b.ownsLastRecord())
+	is.True(!b.hasEnded(b.lastRecord))
+	_, won, err = b.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	is.Equal(b.LastRecord().Term, int64(2)) // a claim of its own
+	is.Equal(a.writeHeartbeat(context.Background()) != nil, true)
+	is.True(!a.ownsLastRecord()) // a is deposed
+}
--- a/internal/cell/election/watch.go
+++ b/internal/cell/election/watch.go
@@ -48,7 +48,7 @@
 // an earlier process of this VM, or of a term that this process has already owned while
 // Campaign runs. checkOwner and Campaign call it.
 func (e *Election) hasEnded(r OwnerRecord) bool {
-	if r.Instance == e.opts.Instance {
+	if e.wrote(r) {
 		return r.Term <= e.returnedTerm
 	}
 	return r.Instance != "" && r.Addr == e.opts.Addr
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -53,7 +53,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
 	"gypsumwinch/internal/cell"
@@ -61,6 +60,7 @@
 	"gypsumwinch/internal/cell/election"
 	"gypsumwinch/internal/cell/owner"
 	"gypsumwinch/internal/structs"
+	"gypsumwinch/internal/uniqueid"
 )
 
 // Settings configure a Node. They do not change while it runs.
@@ -197,7 +197,7 @@
 		logWriter:       logWriter,
 		log:             newLogger(logWriter, settings.Name),
 		replica:         newReplica(),
-		instance:        ulid.Make().String(),
+		instance:        settings.Name + "-" + uniqueid.New(),
 		startedAt:       bootTime(),
 		peerClients:     map[string]cellpb.Cell{},
 		proxyCandidates: map[string]proxyCandidate{},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 
 	"gypsumwinch/internal/backend"
@@ -19,6 +18,7 @@
 	"gypsumwinch/internal/peer"
 	"gypsumwinch/internal/platform"
 	"gypsumwinch/internal/records"
+	"gypsumwinch/internal/uniqueid"
 	"gypsumwinch/internal/workerclient"
 )
 
@@ -75,7 +75,7 @@
 
 // New returns a daemon that is not running. It opens no connection or listener.
 func New(settings Settings, logger hclog.Logger, deps Dependencies) *Daemon {
-	instance := settings.VM + "-" + ulid.Make().String()
+	instance := settings.VM + "-" + uniqueid.New()
 	counters := newCounters()
 	opts := platform.HTTPOptions{Name: settings.VM, Count: counters.platform}
 	if deps.Log == nil {
