Record the address of each open run, so that a new owner reaches unlisted workers

After a change of the owner, a task of a cancelled job ran on until its lease lapsed (up to 6 s), and other work was lost with its lease, if the list of workers did not name their worker: its entry had expired, or another writer had left an odd entry under its id. The records of runs held only the id of the worker, so that the new owner had no address for stops and renewals.

Change: an open run is recorded with the address of its worker. A new owner calls unlisted workers there, at that of their latest incarnation. Nothing new starts on them. Previous builds ignore the field and write none.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -305,7 +305,7 @@
 	if s != nil && open.Index >= len(s.tasks) {
 		s = nil
 	}
-	w := m.workerOrPlaceholder(open.Worker, open.Born)
+	w := m.workerOrPlaceholder(open)
 	r := &run{
 		id:              cell.TaskID{StepID: cell.StepID{Job: j.def.ID, Occurrence: p.Occurrence, Step: p.Step}, Index: open.Index},
 		number:          open.Run,
@@ -485,7 +485,7 @@
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if r := t.run; r != nil {
-			p.OpenRuns = append(p.OpenRuns, cell.OpenRun{Index: i, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt})
+			p.OpenRuns = append(p.OpenRuns, cell.OpenRun{Index: i, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt, Addr: r.worker.info.Addr})
 		}
 		if t.failedRuns > 0 && !final && !s.def.Gang {
 			p.SetFailedRuns(i, t.failedRuns)
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -99,17 +99,21 @@
 	return w
 }
 
-// workerOrPlaceholder returns a worker, and adds one with its id and start time
-// if it is not known. recoverRun calls it for each recorded open run: a new
-// owner may read the recorded runs before the list of workers, and a worker may
-// have been removed from the list while it had open runs. The runs of an unlisted worker are closed
-// after the longest possible lease.
-func (m *Machine) workerOrPlaceholder(id string, startedAt int64) *worker {
-	if w, ok := m.workers[id]; ok {
-		return w
+// workerOrPlaceholder returns the worker of a recorded run, and adds one with its id, start
+// time and recorded address if it is not known. recoverRun calls it for each recorded open
+// run: a new owner may read the recorded runs before the list of workers, and a worker may
+// have been removed from the list while it had open runs. An unlisted worker is called at the
+// recorded address of its latest incarnation; without one, its runs are closed after the
+// longest possible lease.
+func (m *Machine) workerOrPlaceholder(open cell.OpenRun) *worker {
+	w, ok := m.workers[open.Worker]
+	if !ok {
+		w = m.addWorker(open.Worker)
+		w.info.Born, w.info.Addr = open.Born, open.Addr
+	}
+	if !w.isListed && open.Addr != "" && open.Born > w.info.Born {
+		w.info.Born, w.info.Addr = open.Born, open.Addr
 	}
-	w := m.addWorker(id)
-	w.info.Born = startedAt
 	return w
 }
 
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -27,6 +27,9 @@
 	// Born identifies the worker's incarnation: the time at which its process started,
 	// in Unix milliseconds.
 	Born int64 `json:"b,omitempty"`
+	// Addr is the address of the worker. The list of workers may not name it when a new owner
+	// has to stop the run or to renew its lease. Previous builds leave it empty.
+	Addr string `json:"a,omitempty"`
 }
 
 // StepProgress is the recorded progress of one step of one occurrence.
