--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -71,8 +71,8 @@
 // WriteWorker writes the entry of a worker, as it does itself at each heartbeat.
 func (s *Server) WriteWorker(e WorkerEntry) error {
 	value, err := json.Marshal(map[string]any{
-		"Service": e.Service, "Address": e.Addr, "Zone": e.Zone, "Version": "1", "State": "ready",
-		"Capacity": map[string]any{"Cpu": e.MilliCPU, "MemMb": e.MemoryMB}, "Labels": []string{"kind", "rack"},
+		"Service": e.Service, "Address": e.Addr, "Zone": e.Zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+		"Capacity": map[string]any{"Cpu": e.MilliCPU, "MemMb": e.MemoryMB, "Gpu": 0}, "Labels": []string{"kind", "rack"},
 		"Sequence": e.Sequence, "born": e.Born,
 	})
 	if err != nil {
