Set entries of workers aside whose service the configuration does not name

Cause: an entry of an unknown service was passed to the owner as that of a worker. Under the id of a known worker it replaced the address: the leases of its runs were renewed, and the runs of cancelled jobs stopped, at the address of the other writer, so that a task of a cancelled job runs on (UNASKED) until its lease lapses, and a refusal there (421) closes the runs, which then start elsewhere while they go on.

Change: the tracker keeps such an entry until a configuration names its service, and the worker counts as not listed: no task starts on it, and its runs are renewed and stopped at the address of its last good entry, as after an entry that cannot be decoded.

Measured: TestEntryOfAnUnnamedServiceNamesNoWorker failed before (3 entries were listed, among them the known worker at the other address). Not a fault before: the reader goes on after entries that cannot be decoded or whose decoder panics (TestReaderGoesOnAfterOddEntries, TestOddEntryOfAKnownWorkerEndsItsUse), and the runs of a worker with an odd entry are renewed and stopped (TestRunsOfAnUnlistedWorkerAreRenewedAndStopped).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -95,19 +95,27 @@
 	Guarded map[string]bool
 	// MaxBody is the size limit of a request body in bytes.
 	MaxBody int64
-	// queueByName and queuesByHost are built by Index, since a configuration may have
-	// thousands of queues.
+	// queueByName, queuesByHost and services are built by Index, since a configuration may
+	// have thousands of queues.
 	queueByName  map[string]*Queue
 	queuesByHost map[string][]*Queue
+	services     map[string]bool
 }
 
-// Index builds the indexes that Queue and QueueByName use. Whoever builds a Config
-// calls it once Queues is complete, before the Config is shared.
+// Index builds the indexes that Queue, QueueByName and NamesService use. Whoever builds a
+// Config calls it once Queues and Guarded are complete, before the Config is shared.
 func (c *Config) Index() {
 	c.queueByName = make(map[string]*Queue, len(c.Queues))
 	c.queuesByHost = map[string][]*Queue{}
+	c.services = make(map[string]bool, len(c.Guarded))
+	for name := range c.Guarded {
+		c.services[name] = true
+	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
+		if q.Service != "" {
+			c.services[q.Service] = true
+		}
 		c.queueByName[q.Name] = q
 		c.queuesByHost[q.Host] = append(c.queuesByHost[q.Host], q)
 	}
@@ -133,6 +141,12 @@
 	return c.queueByName[name]
 }
 
+// NamesService reports whether the configuration names a service of workers, or no service at
+// all. Package node calls it for the entry of each worker.
+func (c *Config) NamesService(name string) bool {
+	return len(c.services) == 0 || c.services[name]
+}
+
 // Step is a group of equal tasks of a job. Steps may depend on each other.
 type Step struct {
 	Count int               `json:"n"`
--- /dev/null
+++ b/internal/cell/node/oddentries_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/owner"
+	"gypsumwinch/standin/cellstore"
+)
+
+// The tests of this file guard against odd entries of other writers among those of the workers
+// (issue 28): they name no worker to use, and the other entries hold.
+
+// oddDecoder refuses entries that contain "odd" and panics at those that contain "panic".
+type oddDecoder struct{ soakDecoder }
+
+func (d oddDecoder) Worker(key string, value []byte) (cell.Worker, error) {
+	switch {
+	case strings.Contains(string(value), "odd"):
+		return cell.Worker{}, errors.New("odd entry")
+	case strings.Contains(string(value), "panic"):
+		panic("odd entry")
+	}
+	return d.soakDecoder.Worker(key, value)
+}
+
+// entries is a tracker of the entries in a store.
+type entries struct {
+	t       *testing.T
+	store   *cellstore.Store
+	node    *Node
+	tracker *workerTracker
+}
+
+func newEntries(t *testing.T) *entries {
+	t.Helper()
+	e := &entries{t: t, store: &cellstore.Store{}}
+	e.node = New(Settings{Name: "vm", PeerAddr: "vm:1"}, Ports{Store: e.store, Decoder: oddDecoder{}}, io.Discard)
+	e.tracker = newWorkerTracker(context.Background(), e.node, newControlLoop(e.node, 1))
+	return e
+}
+
+// write writes an entry; an empty one deletes the key.
+func (e *entries) write(key, value string) {
+	e.t.Helper()
+	_, err := e.store.Append(context.Background(), cell.Append{Topic: cell.TopicWorkers, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: key, Value: []byte(value)}}})
+	if err != nil {
+		e.t.Fatal(err)
+	}
+}
+
+// configure puts a configuration with one service into force.
+func (e *entries) configure(version int64, service string) {
+	c := &cell.Config{Version: version, Guarded: map[string]bool{service: false}, Queues: []cell.Queue{{Name: "q", Service: service}}}
+	c.Index()
+	e.node.config.Store(c)
+	e.tracker.postConfig(context.Background())
+}
+
+// read reads to the end of the topic and returns the ids and addresses of the workers that
+// were listed and the ids that were removed, in the order of the events.
+func (e *entries) read() (listed, removed []string) {
+	e.t.Helper()
+	if err := e.tracker.reader.readToEnd(context.Background()); err != nil {
+		e.t.Fatal(err)
+	}
+	for {
+		select {
+		case ev := <-e.tracker.loop.events:
+			if l, ok := ev.(owner.WorkersListed); ok {
+				for _, w := range l.Workers {
+					listed = append(listed, w.ID+"@"+w.Addr)
+				}
+				removed = append(removed, l.Removed...)
+			}
+		default:
+			return listed, removed
+		}
+	}
+}
+
+// TestReaderGoesOnAfterOddEntries guards against a reader that stops at an entry that cannot
+// be decoded, or whose decoder panics: workers that are listed after it would never be used.
+func TestReaderGoesOnAfterOddEntries(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.write("x", "odd")
+	e.write("y", "panic")
+	e.write("", "odd")
+	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
+	listed, _ := e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1", "b@10.0.0.2:1"})
+	e.write("y", "panic")
+	e.write("x", "odd")
+	e.write("c", `{"ID":"c","Service":"s","Addr":"10.0.0.3:1"}`)
+	listed, _ = e.read()
+	is.Equal(listed, []string{"c@10.0.0.3:1"})
+	is.Equal(len(e.tracker.workers), 3)
+}
+
+// TestOddEntryOfAKnownWorkerEndsItsUse guards against starts on a worker whose newest entry is
+// odd. The worker is used again once its own entry follows, also if that has not changed.
+func TestOddEntryOfAKnownWorkerEndsItsUse(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	const good = `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`
+	e.write("a", good)
+	e.read()
+	e.write("a", "odd")
+	listed, removed := e.read()
+	is.Equal(len(listed), 0)
+	is.Equal(removed, []string{"a"})
+	e.write("a", good)
+	listed, _ = e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1"})
+}
+
+// TestEntryOfAnUnnamedServiceNamesNoWorker guards against entries of a service that the
+// configuration does not name. Under the id of a worker such an entry replaced the address: the
+// leases of its runs were not renewed and the runs of cancelled jobs not stopped there. The
+// entry counts once a configuration names its service.
+func TestEntryOfAnUnnamedServiceNamesNoWorker(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.write("a", `{"ID":"a","Service":"other","Addr":"10.9.9.9:1"}`)
+	e.write("b", `{"ID":"b","Service":"other","Addr":"10.0.0.2:1"}`)
+	e.write("c", `{"ID":"c","Service":"other","Addr":"10.0.0.3:1"}`)
+	listed, removed := e.read()
+	is.Equal(len(listed), 0)
+	is.Equal(removed, []string{"a", "b", "c"})
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	listed, _ = e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1"})
+	e.write("c", "")
+	e.read()
+	e.configure(2, "other")
+	listed, removed = e.read()
+	is.Equal(listed, []string{"b@10.0.0.2:1"})
+	is.Equal(len(removed), 0) // a serves no queue; its runs go on
+}
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -307,19 +307,23 @@
 // workerTracker posts changes of the workers' entries and of the configuration
 // to the control loop.
 type workerTracker struct {
-	node          *Node
-	loop          *controlLoop
-	reader        *topicReader
-	workers       map[string]cell.Worker
+	node    *Node
+	loop    *controlLoop
+	reader  *topicReader
+	workers map[string]cell.Worker
+	// unnamed holds the entries of services that the configuration does not name.
+	unnamed       map[string]cell.Worker
 	configVersion int64
 }
 
 // newWorkerTracker returns a tracker that has read nothing. pollWorkers calls it once;
 // events are posted until ctx ends.
 func newWorkerTracker(ctx context.Context, n *Node, c *controlLoop) *workerTracker {
-	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}}
+	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}, unnamed: map[string]cell.Worker{}}
 	t.reader = n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { t.applyRecords(ctx, records) })
-	t.reader.knownKeys = func() []string { return slices.Collect(maps.Keys(t.workers)) }
+	t.reader.knownKeys = func() []string {
+		return slices.AppendSeq(slices.Collect(maps.Keys(t.workers)), maps.Keys(t.unnamed))
+	}
 	return t
 }
 
@@ -329,6 +333,8 @@
 func (t *workerTracker) applyRecords(ctx context.Context, records []cell.KeyValue) {
 	var ev owner.WorkersListed
 	for _, r := range records {
+		_, wasUnnamed := t.unnamed[r.Key]
+		delete(t.unnamed, r.Key)
 		if len(r.Value) == 0 {
 			delete(t.workers, r.Key)
 			ev.Removed = append(ev.Removed, r.Key)
@@ -340,6 +346,11 @@
 			ev.Removed = append(ev.Removed, r.Key)
 			continue
 		}
+		if config := t.node.config.Load(); config != nil && !config.NamesService(w.Service) {
+			t.setAside(w, !wasUnnamed)
+			ev.Removed = append(ev.Removed, r.Key)
+			continue
+		}
 		if old, ok := t.workers[r.Key]; ok && reflect.DeepEqual(old, w) {
 			continue
 		}
@@ -351,8 +362,20 @@
 	}
 }
 
+// setAside keeps the entry of a service that the configuration does not name, until it does.
+// Another writer may have written the entry: under the id of a worker, its address must not
+// replace that of the worker, where runs may have to be stopped. applyRecords calls it.
+func (t *workerTracker) setAside(w cell.Worker, isNew bool) {
+	delete(t.workers, w.ID)
+	t.unnamed[w.ID] = w
+	if isNew { // each heartbeat of a worker writes its entry
+		t.node.log.Warn("entry of a worker names an unknown service", "id", w.ID, "service", w.Service)
+	}
+}
+
 // dropUnreadable logs an entry that cannot be decoded. The worker is removed
-// because nothing in the entry can be used. applyRecords calls it for each
+// because nothing in the entry can be used. Its runs go on: the owner renews and stops them
+// at the address of the last entry that could be used. applyRecords calls it for each
 // such entry.
 func (t *workerTracker) dropUnreadable(key string, err error) {
 	delete(t.workers, key)
@@ -368,6 +391,25 @@
 	}
 	t.configVersion = config.Version
 	t.loop.post(ctx, owner.ConfigChanged{Config: config})
+	t.listNamed(ctx, config)
+}
+
+// listNamed posts the entries that were set aside and whose service a new configuration
+// names. postConfig calls it.
+func (t *workerTracker) listNamed(ctx context.Context, config *cell.Config) {
+	var ev owner.WorkersListed
+	for _, id := range slices.Sorted(maps.Keys(t.unnamed)) {
+		w := t.unnamed[id]
+		if !config.NamesService(w.Service) {
+			continue
+		}
+		delete(t.unnamed, id)
+		t.workers[id] = w
+		ev.Workers = append(ev.Workers, w)
+	}
+	if len(ev.Workers) > 0 {
+		t.loop.post(ctx, ev)
+	}
 }
 
 // heartbeatAccepted records when a heartbeat was sent that the store accepted, and
--- /dev/null
+++ b/internal/cell/owner/oddentry_test.go
@@ -0,0 +1,56 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+)
+
+// TestRunsOfAnUnlistedWorkerAreRenewedAndStopped guards against runs that lapse, or go on after
+// their job is cancelled, since the newest entry of their worker is odd and names no worker to
+// use (issue 28): leases are renewed and runs stopped at the address of the last good entry, no
+// task starts there, and the worker is used again after its next good entry.
+func TestRunsOfAnUnlistedWorkerAreRenewedAndStopped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	start := startOneTask(f)
+	f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: "w"})
+	active := cell.ActiveRun{Task: start.Task.String(), Run: start.Run, Percent: 10}
+	f.answerRenewal(active)
+	good := f.m.workers["w"].info
+	f.apply(WorkersListed{Removed: []string{"w"}})
+	f.clearActions()
+	leaseEnd := time.Duration(0)
+	f.apply(JobSubmitted{Job: newJob("other", newStep(1, 100))})
+	for range 20 { // 10 s: longer than the longest lease
+		f.now += 500 * time.Millisecond
+		f.apply(HeartbeatStored{SentAt: f.now})
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+		for _, r := range actionsOf[Renew](f) {
+			is.Equal(r.Renewal.Addr, good.Addr)
+			leaseEnd = max(leaseEnd, r.Renewal.LeaseEnd)
+		}
+		f.clearActions()
+		active.Percent++
+		f.answerRenewal(active)
+		is.Equal(len(actionsOf[SendStart](f)), 0)
+	}
+	is.True(leaseEnd > f.now) // renewed all the while
+	is.Equal(len(f.m.workers["w"].runs), 1)
+
+	f.apply(JobCancelled{Job: "j"})
+	stops := actionsOf[SendStop](f)
+	is.Equal(len(stops), 1)
+	is.Equal(stops[0].Stop.Addr, good.Addr)
+
+	f.clearActions()
+	f.apply(WorkersListed{Workers: []cell.Worker{good}})
+	f.answerRenewal(active)
+	f.apply(Tick{})
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 1) // of the other job
+}
