Go on after a record of a topic that can never be read

Cause: an answer to a read with a record whose length is beyond the answer was refused whole, with the good records before it, and read again from the same offset without end: no later record was followed.

--- a/internal/cell/interfaces.go
+++ b/internal/cell/interfaces.go
@@ -61,9 +61,9 @@
 	ErrNotExecuted = errors.New("the store refused the call")
 	// ErrFenced means that the store has seen a higher epoch than that of the call.
 	ErrFenced = errors.New("a higher epoch is in force")
-	// ErrExpired means that the store has dropped the records at the offset of a
-	// read; the reader then loads the newest records. It has nothing to do with the
-	// expiry of leases and tickets.
+	// ErrExpired means that the records at the offset of a read cannot be had: the store
+	// has dropped them, or they cannot be decoded. The reader then loads the newest records.
+	// It has nothing to do with the expiry of leases and tickets.
 	ErrExpired = errors.New("the records are no longer kept")
 )
 
--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -148,3 +149,41 @@
 	is.Equal(listed, []string{"b@10.0.0.2:1"})
 	is.Equal(len(removed), 0) // a serves no queue; its runs go on
 }
+
+// brokenStore returns cell.ErrExpired for each read, as the adapter does for records that it
+// cannot decode.
+type brokenStore struct {
+	cell.Store
+	reads, loads int
+}
+
+func (s *brokenStore) Read(context.Context, cell.Topic, int64, time.Duration) (cell.Batch, error) {
+	s.reads++
+	return cell.Batch{}, cell.ErrExpired
+}
+
+func (s *brokenStore) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
+	if s.loads++; s.loads > 100 {
+		return cell.Batch{}, errors.New("the reader loads the topic without end")
+	}
+	return s.Store.Newest(ctx, topic)
+}
+
+// TestReaderGoesOnAfterABrokenRecord guards against a reader that reads the same record at each
+// try: it loads the newest records instead. If these end at the same offset, the read is an
+// error, so that the reader pauses; without it, it called the store in a loop.
+func TestReaderGoesOnAfterABrokenRecord(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	e := newEntries(t)
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.read()
+	broken := &brokenStore{Store: e.store}
+	e.tracker.reader.store = broken
+	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
+	_, err := e.tracker.reader.read(ctx, 0)
+	is.NoErr(err)
+	is.Equal(len(e.tracker.workers), 2)
+	is.True(e.tracker.reader.readToEnd(ctx) != nil)
+	is.Equal(broken.loads, 2)
+}
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -125,9 +125,15 @@
 		return true, t.loadNewest(ctx)
 	}
 	sentAt := bootTime()
-	batch, err := t.store.Read(ctx, t.topic, t.nextOffset.Load(), wait)
+	position := t.nextOffset.Load()
+	batch, err := t.store.Read(ctx, t.topic, position, wait)
 	if errors.Is(err, cell.ErrExpired) {
-		return true, t.loadNewest(ctx)
+		cause := err
+		if err = t.loadNewest(ctx); err == nil && t.nextOffset.Load() == position {
+			// Another read would fail the same way. The error makes the caller pause.
+			return false, eris.Wrapf(cause, "topic %s still ends at offset %d", t.topic, position)
+		}
+		return true, err
 	}
 	if err != nil {
 		return false, err
