Log cancellations that a VM accepts or denies

Both are logged now, rate-limited as refused submissions are, with the source of the answer: replica, owner, follower or the unread part of the topic. Denied ones are counted (operation cancel, outcome denied).

--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -80,12 +80,18 @@
 // outage refuses every submission. Submit calls it when the record could not
 // be appended.
 func (n *Node) logRefusal(job *cell.Job, err error) {
+	n.logLimited(&n.refusalLimiter, "job is not accepted", "id", string(job.ID), "queue", job.Queue.Name,
+		"outcome", requestOutcome(err), "error", err.Error())
+}
+
+// logLimited logs a line about a caller's request, subject to the rate limit of its
+// kind. limiter is guarded by n.mu. It runs on the goroutine of the request.
+func (n *Node) logLimited(limiter *logLimiter, message string, details ...any) {
 	n.mu.Lock()
-	allowed, dropped := n.refusalLimiter.allow(time.Now())
+	allowed, dropped := limiter.allow(time.Now())
 	n.mu.Unlock()
 	if allowed {
-		n.log.Info("job is not accepted", "id", string(job.ID), "queue", job.Queue.Name,
-			"outcome", requestOutcome(err), "dropped_before", dropped, "error", err.Error())
+		n.log.Info(message, append(details, "dropped_before", dropped)...)
 	}
 }
 
@@ -135,52 +141,74 @@
 
 // State returns a job's state and whether the job is known. It asks the owner
 // about jobs that have not ended, because the owner knows their state first.
-// It runs on the goroutine of a caller's request for a state or, through
-// Cancel, for a cancellation.
+// It runs on the goroutine of a caller's request for a state.
 func (n *Node) State(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+	answer, err := n.findJob(ctx, id)
+	return answer.state, answer.isKnown, err
+}
+
+// jobAnswer is what this VM answers about a job.
+type jobAnswer struct {
+	state   cell.State
+	isKnown bool
+	// source is what the answer rests on, for log lines.
+	source string
+}
+
+// Sources of a jobAnswer.
+const (
+	sourceReplica    = "replica"
+	sourceOwner      = "owner"
+	sourceUnreadPart = "unread part of the topic"
+	sourceFollower   = "follower"
+)
+
+// findJob finds out the state of a job for State and Cancel.
+func (n *Node) findJob(ctx context.Context, id cell.JobID) (jobAnswer, error) {
 	state, known := n.replica.state(id)
+	own := jobAnswer{state, true, sourceReplica}
 	if known && state.IsFinal() || n.activeLoop() != nil && known {
 		n.countRequest("state", "own")
-		return state, true, nil
+		return own, nil
 	}
 	if owner := n.ownerClient(); owner != nil {
 		if s, ok := n.queryOwner(ctx, owner, id); ok {
 			n.countRequest("state", "owner")
-			return s, true, nil
+			return jobAnswer{s, true, sourceOwner}, nil
 		}
 	}
 	if !known || !n.knowsAllJobs() {
-		s, found, err := n.lookUp(ctx, id)
-		if err == nil && (found || !known) || !known {
-			return s, found, err
+		answer, err := n.lookUp(ctx, id)
+		if err == nil && (answer.isKnown || !known) || !known {
+			return answer, err
 		}
 	}
 	n.countRequest("state", "own")
-	return state, true, nil
+	return own, nil
 }
 
 // lookUp looks up a job that this VM cannot answer for: in the unread part of
-// topic jobs if this VM knows all jobs, else at the followers. State calls it
+// topic jobs if this VM knows all jobs, else at the followers. findJob calls it
 // when the owner has returned no state.
-func (n *Node) lookUp(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+func (n *Node) lookUp(ctx context.Context, id cell.JobID) (jobAnswer, error) {
 	if !n.knowsAllJobs() {
 		return n.queryFollowers(ctx, id)
 	}
 	found, err := n.jobsReader.hasUnreadKey(ctx, cell.JobKey(id))
 	if err != nil {
 		n.countRequest("state", "unknown")
-		return 0, false, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: err}
+		return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: err}
 	}
 	n.countRequest("state", "looked_up")
 	// The reader may have read the job while the store was called.
 	if state, known := n.replica.state(id); known {
-		return state, true, nil
+		return jobAnswer{state, true, sourceReplica}, nil
 	}
 	if !found && !n.hasReadProgress() {
 		n.countRequest("state", "unknown")
-		return 0, false, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("topic progress was not read since the jobs were loaded")}
+		return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("topic progress was not read since the jobs were loaded")}
 	}
-	return cell.StateQueued, found, nil
+	return jobAnswer{cell.StateQueued, found, sourceUnreadPart}, nil
 }
 
 // maxStateQueries bounds the VMs that are asked about one job.
@@ -189,7 +217,7 @@
 // queryFollowers asks several VMs about a job at the same time. Only the
 // answer of a VM that knows all jobs proves that a job does not exist. lookUp
 // calls it on a VM that does not know all jobs.
-func (n *Node) queryFollowers(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
+func (n *Node) queryFollowers(ctx context.Context, id cell.JobID) (jobAnswer, error) {
 	peers := n.storeProxyClients()
 	peers = peers[:min(maxStateQueries, len(peers))]
 	answers := make(chan *cellpb.StateResponse, len(peers))
@@ -211,15 +239,15 @@
 			continue
 		}
 		if len(resp.State) == 1 {
-			return cell.State(resp.State[0]), true, nil
+			return jobAnswer{cell.State(resp.State[0]), true, sourceFollower}, nil
 		}
 		notFound = true
 	}
 	if notFound {
-		return 0, false, nil
+		return jobAnswer{source: sourceFollower}, nil
 	}
 	n.countRequest("state", "unknown")
-	return 0, false, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("no follower answered the job state query")}
+	return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("no follower answered the job state query")}
 }
 
 // queryState asks one VM for the state of a job, within stateQueryTimeout.
@@ -231,7 +259,7 @@
 }
 
 // queryOwner asks the owner for the state of a job. It returns false if the
-// owner does not answer or returns no state. State calls it on a VM other than
+// owner does not answer or returns no state. findJob calls it on a VM other than
 // the owner.
 func (n *Node) queryOwner(ctx context.Context, owner cellpb.Cell, id cell.JobID) (cell.State, bool) {
 	resp, err := n.queryState(ctx, owner, id)
@@ -250,11 +278,16 @@
 // known. A finished job stays as it is. It runs on the goroutine of a caller's
 // request, on every VM; the owner acts on the record when it receives it.
 func (n *Node) Cancel(ctx context.Context, id cell.JobID) (bool, error) {
-	state, known, err := n.State(ctx, id)
-	if err != nil || !known {
+	answer, err := n.findJob(ctx, id)
+	if err != nil {
 		return false, err
 	}
-	if state.IsFinal() || n.replica.isCancelled(id) {
+	if !answer.isKnown {
+		n.countRequest("cancel", "denied")
+		n.logLimited(&n.deniedCancelLimiter, "cancellation is denied", "id", string(id), "source", answer.source)
+		return false, nil
+	}
+	if answer.state.IsFinal() || n.replica.isCancelled(id) {
 		return true, nil
 	}
 	kv := cell.KeyValue{Key: cell.CancelKey(id), Value: []byte{'1'}}
@@ -264,6 +297,7 @@
 		return false, err
 	}
 	n.countRequest("cancel", "accepted")
+	n.logLimited(&n.acceptedCancelLimiter, "cancellation is accepted", "id", string(id), "source", answer.source)
 	return true, nil
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -159,9 +159,12 @@
 	// unnotifiedAt is the boot time at which the owner last read a submission
 	// that no VM had notified it of.
 	unnotifiedAt atomic.Int64
-	// refusalLimiter limits the log lines about refused submissions. Guarded by
-	// mu.
-	refusalLimiter logLimiter
+	// refusalLimiter limits the log lines about refused submissions,
+	// acceptedCancelLimiter and deniedCancelLimiter those about cancellations. Guarded
+	// by mu.
+	refusalLimiter        logLimiter
+	acceptedCancelLimiter logLimiter
+	deniedCancelLimiter   logLimiter
 	// pendingCounts are the numbers of pending jobs by queue, as reported by the
 	// owner.
 	pendingCounts   atomic.Pointer[map[string]int32]
@@ -272,7 +275,7 @@
 
 // knowsAllJobs reports whether this VM knows the states of all jobs: as the
 // owner, or as a follower that has loaded both topics. Ready checks it, since a
-// follower takes callers only then. State and lookUp check it to answer from
+// follower takes callers only then. findJob and lookUp check it to answer from
 // the replica instead of asking the followers, Pending to count a queue's jobs
 // itself. The hello loop checks it to ask for pending counts or to report this
 // VM as a follower; the RPCs check it to report the same and to return counts.
