Deny a cancellation only on proof that covers earlier submissions

A VM that does not know all jobs (a small VM, or one that has just restarted) asks followers about a job that the owner does not name, and a follower whose last read was up to 2.5 s old reported a job that was accepted since then as absent. The caller was told 410 and the job ran on. A follower now reads the unread part of topic jobs before it denies a job to a VM that asks for a cancellation; if it cannot, it proves nothing and the answer is 503 with a time to return. Queries for states keep the bound of 2.5 s, within which a job need not be visible: the read is a call of the store by up to eight VMs.

The demand is an HTTP header of the State RPC, since a new field needs protoc. Previous builds ignore it and deny as before, so that the fault remains while a cell is updated.

TestCancellationOfAnAcceptedJobIsNotDenied and TestCancellationIsNotDeniedWithoutTheStore failed before.

--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/standin/cellstore"
 )
 
@@ -40,3 +44,68 @@
 		}
 	}
 }
+
+// newVMBesideFollower returns a VM that is no follower, and knows only a follower. It appends
+// what its callers ask for.
+func newVMBesideFollower(t *testing.T, store cell.Store, follower *Node) *Node {
+	t.Helper()
+	server := httptest.NewServer(follower.rpcHandler())
+	t.Cleanup(server.Close)
+	n := New(Settings{Name: "small", PeerAddr: "small:1", CPUCores: 0.1}, Ports{Store: store}, io.Discard)
+	n.peerClients["follower:1"] = cellpb.NewCellProtobufClient(server.URL, server.Client())
+	n.addPeer("follower:1")
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go n.committer.run(ctx)
+	return n
+}
+
+// appendJob appends a submission as another VM does that accepts the job.
+func appendJob(t *testing.T, store cell.Store, id cell.JobID) {
+	t.Helper()
+	_, err := store.Append(context.Background(), cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: []cell.KeyValue{recordOf(t, id)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCancellationOfAnAcceptedJobIsNotDenied guards against a job that runs on because its
+// cancellation was answered with 410: a VM that does not know all jobs took the word of a
+// follower whose last read was older than the acceptance of the job.
+func TestCancellationOfAnAcceptedJobIsNotDenied(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	n := newVMBesideFollower(t, store, newFollower(t, store))
+	appendJob(t, store, "a")
+	known, err := n.Cancel(context.Background(), "a")
+	is.NoErr(err)
+	if !known {
+		t.Error("the cancellation of an accepted job was denied")
+	}
+	is.Equal(store.Len(cell.TopicJobs), int64(2)) // submission and cancellation
+}
+
+// TestCancellationOfAnUnknownJobIsDenied guards against callers that come back for ever with
+// the cancellation of a job that does not exist.
+func TestCancellationOfAnUnknownJobIsDenied(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	n := newVMBesideFollower(t, store, newFollower(t, store))
+	known, err := n.Cancel(context.Background(), "a")
+	is.NoErr(err)
+	is.True(!known)
+}
+
+// TestCancellationIsNotDeniedWithoutTheStore guards against a denial by a follower that cannot
+// read what was submitted since its last read.
+func TestCancellationIsNotDeniedWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	n := newVMBesideFollower(t, store, newFollower(t, store))
+	appendJob(t, store, "a")
+	store.SetFault(func(string, cell.Topic) cellstore.Fault { return cellstore.Refuse })
+	_, err := n.Cancel(context.Background(), "a")
+	var notExecuted *cell.NotExecutedError
+	is.True(errors.As(err, &notExecuted))
+	is.True(notExecuted.RetryAfter > 0)
+}
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
@@ -17,7 +19,8 @@
 	// answerMargin is the part of a caller's deadline that is left for the answer
 	// to arrive.
 	answerMargin = 150 * time.Millisecond
-	// stateQueryTimeout bounds a query to another VM for the state of a job.
+	// stateQueryTimeout bounds a query to another VM for the state of a job. Latencies of
+	// the store are added if that VM calls it.
 	stateQueryTimeout = 300 * time.Millisecond
 	// maxReadAge is the age of the last successful read of the store from which
 	// this VM reports that it is not ready.
@@ -143,7 +146,7 @@
 // about jobs that have not ended, because the owner knows their state first.
 // It runs on the goroutine of a caller's request for a state.
 func (n *Node) State(ctx context.Context, id cell.JobID) (cell.State, bool, error) {
-	answer, err := n.findJob(ctx, id)
+	answer, err := n.findJob(ctx, id, false)
 	return answer.state, answer.isKnown, err
 }
 
@@ -163,8 +166,9 @@
 	sourceFollower   = "follower"
 )
 
-// findJob finds out the state of a job for State and Cancel.
-func (n *Node) findJob(ctx context.Context, id cell.JobID) (jobAnswer, error) {
+// findJob finds out the state of a job for State and Cancel. With coversAll, an answer that
+// the job is unknown covers every submission accepted before the call.
+func (n *Node) findJob(ctx context.Context, id cell.JobID, coversAll bool) (jobAnswer, error) {
 	state, known := n.replica.state(id)
 	own := jobAnswer{state, true, sourceReplica}
 	if known && state.IsFinal() || n.activeLoop() != nil && known {
@@ -178,7 +182,7 @@
 		}
 	}
 	if !known || !n.knowsAllJobs() {
-		answer, err := n.lookUp(ctx, id)
+		answer, err := n.lookUp(ctx, id, coversAll)
 		if err == nil && (answer.isKnown || !known) || !known {
 			return answer, err
 		}
@@ -190,9 +194,9 @@
 // lookUp looks up a job that this VM cannot answer for: in the unread part of
 // topic jobs if this VM knows all jobs, else at the followers. findJob calls it
 // when the owner has returned no state.
-func (n *Node) lookUp(ctx context.Context, id cell.JobID) (jobAnswer, error) {
+func (n *Node) lookUp(ctx context.Context, id cell.JobID, coversAll bool) (jobAnswer, error) {
 	if !n.knowsAllJobs() {
-		return n.queryFollowers(ctx, id)
+		return n.queryFollowers(ctx, id, coversAll)
 	}
 	found, err := n.jobsReader.hasUnreadKey(ctx, cell.JobKey(id))
 	if err != nil {
@@ -215,17 +219,26 @@
 const maxStateQueries = 8
 
 // queryFollowers asks several VMs about a job at the same time. Only the
-// answer of a VM that knows all jobs proves that a job does not exist. lookUp
-// calls it on a VM that does not know all jobs.
-func (n *Node) queryFollowers(ctx context.Context, id cell.JobID) (jobAnswer, error) {
+// answer of a VM that knows all jobs proves that a job does not exist. With
+// coversAll, the VMs also read what they have not read of topic jobs, which takes a
+// call of the store. lookUp calls it on a VM that does not know all jobs.
+func (n *Node) queryFollowers(ctx context.Context, id cell.JobID, coversAll bool) (jobAnswer, error) {
 	peers := n.storeProxyClients()
 	peers = peers[:min(maxStateQueries, len(peers))]
 	answers := make(chan *cellpb.StateResponse, len(peers))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timeout := stateQueryTimeout
+	if coversAll {
+		timeout += commitLatencyFactor * n.storeRouter.lastLatency()
+		var err error
+		if ctx, err = twirp.WithHTTPRequestHeaders(ctx, http.Header{readUnreadHeader: {"1"}}); err != nil {
+			return jobAnswer{}, eris.Wrap(err, "set the header of a state query")
+		}
+	}
 	for _, p := range peers {
 		go func() {
-			resp, err := n.queryState(ctx, p, id)
+			resp, err := queryState(ctx, p, id, timeout)
 			if err != nil {
 				n.log.Debug("VM did not answer job state query", "id", string(id), "error", err.Error())
 			}
@@ -250,10 +263,10 @@
 	return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("no follower answered the job state query")}
 }
 
-// queryState asks one VM for the state of a job, within stateQueryTimeout.
-// queryOwner and queryFollowers call it during a caller's request.
-func (n *Node) queryState(ctx context.Context, p cellpb.Cell, id cell.JobID) (*cellpb.StateResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, stateQueryTimeout)
+// queryState asks one VM for the state of a job. queryOwner and queryFollowers call it
+// during a caller's request.
+func queryState(ctx context.Context, p cellpb.Cell, id cell.JobID, timeout time.Duration) (*cellpb.StateResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return p.State(ctx, &cellpb.StateRequest{Job: string(id)})
 }
@@ -262,7 +275,7 @@
 // owner does not answer or returns no state. findJob calls it on a VM other than
 // the owner.
 func (n *Node) queryOwner(ctx context.Context, owner cellpb.Cell, id cell.JobID) (cell.State, bool) {
-	resp, err := n.queryState(ctx, owner, id)
+	resp, err := queryState(ctx, owner, id, stateQueryTimeout)
 	if err != nil {
 		n.countRequest("state", "owner_failed")
 		n.log.Debug("owner does not answer", "id", string(id), "error", err.Error())
@@ -278,7 +291,7 @@
 // known. A finished job stays as it is. It runs on the goroutine of a caller's
 // request, on every VM; the owner acts on the record when it receives it.
 func (n *Node) Cancel(ctx context.Context, id cell.JobID) (bool, error) {
-	answer, err := n.findJob(ctx, id)
+	answer, err := n.findJob(ctx, id, true)
 	if err != nil {
 		return false, err
 	}
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -31,10 +32,31 @@
 
 var _ cellpb.Cell = (*rpcServer)(nil)
 
+// readUnreadHeader is the HTTP header of a State RPC that asks the called VM to read what
+// it has not read of topic jobs before it reports a job as absent. Previous builds ignore it.
+const readUnreadHeader = "Gypsumwinch-Read-Unread"
+
+// mustReadUnreadKey is the context key for a State RPC with readUnreadHeader.
+type mustReadUnreadKey struct{}
+
+// rpcHandler returns the handler of the RPCs between entry VMs. Run serves it.
+func (n *Node) rpcHandler() http.Handler {
+	server := cellpb.NewCellServer(&rpcServer{node: n})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(readUnreadHeader) != "" {
+			r = r.WithContext(context.WithValue(r.Context(), mustReadUnreadKey{}, true))
+		}
+		server.ServeHTTP(w, r)
+	})
+}
+
 // State implements cellpb.Cell. It returns a state only if this VM knows all
 // jobs, and reports an unknown job as absent only if that is proven. Another VM
-// calls it when a caller asks that VM for a job's state or cancels the job.
-func (s *rpcServer) State(_ context.Context, req *cellpb.StateRequest) (*cellpb.StateResponse, error) {
+// calls it when a caller asks that VM for a job's state or cancels the job. A
+// cancellation may be denied only on proof that covers every submission accepted before
+// the request, so that the unread part of topic jobs is read for it. A state may be
+// denied for as long as maxAbsenceAge after the acceptance.
+func (s *rpcServer) State(ctx context.Context, req *cellpb.StateRequest) (*cellpb.StateResponse, error) {
 	resp := &cellpb.StateResponse{Follows: s.node.knowsAllJobs()}
 	if !resp.Follows {
 		return resp, nil
@@ -43,6 +65,22 @@
 		resp.State = string(state)
 		return resp, nil
 	}
+	if mustRead, _ := ctx.Value(mustReadUnreadKey{}).(bool); mustRead {
+		found, err := s.node.jobsReader.hasUnreadKey(ctx, cell.JobKey(cell.JobID(req.Job)))
+		if err != nil {
+			resp.Follows = false
+			return resp, nil
+		}
+		if found {
+			resp.State = string(cell.StateQueued)
+			return resp, nil
+		}
+		// The reader may have read the job while the store was called.
+		if state, known := s.node.replica.state(cell.JobID(req.Job)); known {
+			resp.State = string(state)
+			return resp, nil
+		}
+	}
 	resp.Follows = s.node.provesAbsence()
 	return resp, nil
 }
