Keep the open runs of a finished job in its record after a takeover

A new owner recovers the open runs of a job with a final state without steps, and the record of the job lists the runs of steps only. So the first of these runs that ended had the record rewritten without the others, and a second successor did not know them: it dropped the job, and called their workers only if these were listed. TestRecordOfAFinishedJobKeepsItsOpenRuns failed before.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -32,6 +32,8 @@
 	hasLongRecord bool
 	// openRuns counts the runs that are not closed.
 	openRuns int
+	// runsWithoutStep are those of them that have no step; see run.step.
+	runsWithoutStep []*run
 }
 
 // step is one step of one occurrence.
@@ -474,6 +476,11 @@
 			p.Steps = append(p.Steps, sp)
 		}
 	}
+	if j.state.IsFinal() {
+		for _, r := range j.runsWithoutStep {
+			p.Steps = append(p.Steps, cell.StepProgress{Occurrence: r.id.Occurrence, Step: r.id.Step, LastRun: r.number, OpenRuns: []cell.OpenRun{r.record()}})
+		}
+	}
 	return p
 }
 
@@ -485,7 +492,7 @@
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if r := t.run; r != nil {
-			p.OpenRuns = append(p.OpenRuns, cell.OpenRun{Index: i, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt})
+			p.OpenRuns = append(p.OpenRuns, r.record())
 		}
 		if t.failedRuns > 0 && !final && !s.def.Gang {
 			p.SetFailedRuns(i, t.failedRuns)
@@ -510,6 +517,11 @@
 	return p, s.lastRunNumber > 0 || s.doneTasks > 0
 }
 
+// record returns what the progress record of the job says about an open run.
+func (r *run) record() cell.OpenRun {
+	return cell.OpenRun{Index: r.id.Index, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt}
+}
+
 // doneBits returns one character per task for the progress record: '1' if
 // the task is done, else '0'.
 func (s *step) doneBits() string {
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -100,6 +101,8 @@
 	r.job.openRuns++
 	if r.step != nil {
 		r.step.openRuns++
+	} else {
+		r.job.runsWithoutStep = append(r.job.runsWithoutStep, r)
 	}
 }
 
@@ -131,6 +134,8 @@
 		if s.isReady && s.doneTasks < len(s.tasks) && !s.job.state.IsFinal() {
 			m.waitingSteps[s.id] = s
 		}
+	} else {
+		r.job.runsWithoutStep = slices.DeleteFunc(r.job.runsWithoutStep, func(o *run) bool { return o == r })
 	}
 	m.removeIfFinished(r.job)
 }
