Record the address of a worker with open runs that the store no longer lists

The owner now records the address once the entry has disappeared, and a successor calls the worker there. Records grow only while a worker is unlisted. What remains: an entry that disappears while the cell has no owner, or within the 20 ms before it is recorded.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -307,7 +307,7 @@
 	if s != nil && open.Index >= len(s.tasks) {
 		s = nil
 	}
-	w := m.workerOrPlaceholder(open.Worker, open.Born)
+	w := m.workerOrPlaceholder(open)
 	r := &run{
 		id:              cell.TaskID{StepID: cell.StepID{Job: j.def.ID, Occurrence: p.Occurrence, Step: p.Step}, Index: open.Index},
 		number:          open.Run,
@@ -519,7 +519,11 @@
 
 // record returns what the progress record of the job says about an open run.
 func (r *run) record() cell.OpenRun {
-	return cell.OpenRun{Index: r.id.Index, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt}
+	o := cell.OpenRun{Index: r.id.Index, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt}
+	if !r.worker.isListed {
+		o.Addr = r.worker.info.Addr
+	}
+	return o
 }
 
 // doneBits returns one character per task for the progress record: '1' if
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -99,17 +99,20 @@
 	return w
 }
 
-// workerOrPlaceholder returns a worker, and adds one with its id and start time
-// if it is not known. recoverRun calls it for each recorded open run: a new
+// workerOrPlaceholder returns the worker of a recorded open run, and adds one with its id,
+// start time and, if it is recorded, its address if it is not known. recoverRun calls it for each recorded open run: a new
 // owner may read the recorded runs before the list of workers, and a worker may
-// have been removed from the list while it had open runs. The runs of an unlisted worker are closed
-// after the longest possible lease.
-func (m *Machine) workerOrPlaceholder(id string, startedAt int64) *worker {
-	if w, ok := m.workers[id]; ok {
-		return w
+// have been removed from the list while it had open runs. The runs of an unlisted worker that
+// does not answer, or has no address, are closed after the longest possible lease.
+func (m *Machine) workerOrPlaceholder(open cell.OpenRun) *worker {
+	w, ok := m.workers[open.Worker]
+	if !ok {
+		w = m.addWorker(open.Worker)
+		w.info.Born = open.Born
+	}
+	if !w.isListed && w.info.Addr == "" {
+		w.info.Addr = open.Addr
 	}
-	w := m.addWorker(id)
-	w.info.Born = startedAt
 	return w
 }
 
@@ -126,6 +129,9 @@
 		}
 		w.isListed = false
 		m.logDecision(id, "worker is no longer listed in the store", "open_runs", len(w.runs))
+		for _, r := range w.runList {
+			m.markDirty(r.job) // its record then has the address of the worker
+		}
 		m.removeWorkerIfUnused(w)
 	}
 }
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -27,6 +27,9 @@
 	// Born identifies the worker's incarnation: the time at which its process started,
 	// in Unix milliseconds.
 	Born int64 `json:"b,omitempty"`
+	// Addr is the worker's address while the store has no entry of it, so that a
+	// successor can stop the run; "" otherwise. Previous builds ignore it.
+	Addr string `json:"a,omitempty"`
 }
 
 // StepProgress is the recorded progress of one step of one occurrence.
