Check files of the users' platform before they are used

gypsumwinch check FILE... reads settings files of processes, the deploy file and configurations, and reports all faults with line, value and bound. Unknown fields of the settings and of a configuration are notes; unknown keys of the deploy file are faults.

Cause: the daemon accepted settings with which it cannot work (orders that workers fetch, ports out of range, a reversed internal range, no address, no memory limit), and reported only the first fault of a file, without its line. It now refuses them at its start with all faults; the command uses the same decoder and the same validation. Validation covers what the product uses only.

Problem and Problems of yamldoc move to internal/fileproblem, since both readers use them.

--- /dev/null
+++ b/cmd/gypsumwinch/check.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"gypsumwinch/internal/fileproblem"
+	"gypsumwinch/platform/filecheck"
+)
+
+// checkCommand implements "gypsumwinch check".
+type checkCommand struct {
+	settings *settings
+	// kind is the value of -kind, or empty if the kind is recognised by the content.
+	kind string
+}
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check files of the users' platform" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return "gypsumwinch check [-kind settings|deploy|config] FILE...\n" +
+		"Checks settings files of processes, deploy files and configurations of the users'\n" +
+		"platform as the daemon and the platform do, and reports all faults with their lines.\n" +
+		filecheck.DetectionHelp +
+		"-kind overrides this for all files. FILE is - for standard input. Needs no\n" +
+		"connection. Exit code 3 means that a file is faulty.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	c.settings.register(f)
+	f.StringVar(&c.kind, "kind", "", "`kind` of the files: settings, deploy or config (default: by content)")
+}
+
+// Execute checks all files and prints for each its faults, or that it is valid, and its
+// notes. It makes no request. It implements subcommands.Command.
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	files, err := positionalArgs(f)
+	if err != nil {
+		return reportError(err)
+	}
+	if len(files) == 0 {
+		return reportError(usagef("the command needs FILE..., got no arguments"))
+	}
+	checked := make([]checkedFile, 0, len(files))
+	code := exitOK
+	for _, name := range files {
+		file, err := c.checkFile(name)
+		if err != nil {
+			return reportError(err)
+		}
+		if !file.Valid {
+			code = exitRefused
+		}
+		checked = append(checked, file)
+	}
+	if err := c.settings.print(checked, func(w io.Writer) { writeChecked(w, os.Stderr, checked) }); err != nil {
+		return reportError(err)
+	}
+	return code
+}
+
+// checkedFile is the output of "check" for one file.
+type checkedFile struct {
+	File  string         `json:"file"`
+	Kind  filecheck.Kind `json:"kind"`
+	Valid bool           `json:"valid"`
+	// Problems are the faults of the file.
+	Problems fileproblem.Problems `json:"problems"`
+	// Notes are about what is allowed and ignored or probably not meant.
+	Notes fileproblem.Problems `json:"notes"`
+}
+
+// checkFile reads and checks one file. The error is one of the command line: the file
+// cannot be read or its kind is not known. Execute calls it.
+func (c *checkCommand) checkFile(name string) (checkedFile, error) {
+	data, err := readFile(name)
+	if err != nil {
+		return checkedFile{}, err
+	}
+	kind, err := c.kindOf(name, data)
+	if err != nil {
+		return checkedFile{}, err
+	}
+	checked := checkedFile{File: name, Kind: kind}
+	checked.Notes, err = filecheck.File(kind, name, data)
+	if err != nil && !errors.As(err, &checked.Problems) {
+		return checkedFile{}, err
+	}
+	checked.Valid = err == nil
+	return checked, nil
+}
+
+// kindOf returns the kind that -kind names, or else the kind that the content shows.
+func (c *checkCommand) kindOf(name string, data []byte) (filecheck.Kind, error) {
+	switch kind := filecheck.Kind(c.kind); kind {
+	case filecheck.KindSettings, filecheck.KindDeploy, filecheck.KindConfig:
+		return kind, nil
+	case "":
+	default:
+		return "", usagef("-kind must be settings, deploy or config, is %q", c.kind)
+	}
+	kind, ok := filecheck.Detect(data)
+	if !ok {
+		return "", usagef("%s: the content shows no known kind of file; name it with -kind, or use \"gypsumwinch config check\" for a cluster configuration in YAML", name)
+	}
+	return kind, nil
+}
+
+// writeChecked writes the results as text: faults to problems, the rest to w. Execute
+// calls it.
+func writeChecked(w, problems io.Writer, checked []checkedFile) {
+	for _, file := range checked {
+		for _, note := range file.Notes {
+			note.Reason = "note: " + note.Reason
+			fmt.Fprintln(w, note)
+		}
+		if file.Valid {
+			fmt.Fprintf(w, "%s is valid (%s)\n", file.File, file.Kind)
+			continue
+		}
+		fmt.Fprintln(problems, file.Problems)
+	}
+}
--- a/cmd/gypsumwinch/main.go
+++ b/cmd/gypsumwinch/main.go
@@ -31,6 +31,7 @@
 	commander := subcommands.NewCommander(flags, "gypsumwinch")
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
+	commander.Register(&checkCommand{settings: settings}, "")
 	commander.Register(newConfigGroup(settings), "")
 	commander.Register(newJobGroup(settings), "")
 	commander.Register(newLogGroup(settings), "")
--- a/cmd/gypsumwinchd/signals_test.go
+++ b/cmd/gypsumwinchd/signals_test.go
@@ -30,6 +30,29 @@
 	os.Exit(m.Run())
 }
 
+// TestFaultySettingsAreRefusedAtStart guards against a daemon that starts with settings with
+// which it serves nobody, and against an error that does not say what to mend where.
+func TestFaultySettingsAreRefusedAtStart(t *testing.T) {
+	is := is.New(t)
+	settings := filepath.Join(t.TempDir(), "boot.json")
+	is.NoErr(os.WriteFile(settings, []byte(`{
+  "NodeName": "vm", "Zone": "z", "Ip": "127.0.0.1", "InternalPortRange": [7720, 7721],
+  "BindAddresses": {"Frontend": "127.0.0.1:1", "Readiness": ""},
+  "Limits": {"CpuShare": 0.8, "MemoryMb": 0}, "platform": {"Address": "127.0.0.1:2"},
+  "Orders": "heartbeat"
+}`), 0o600))
+	cmd := exec.Command(os.Args[0], "-platform")
+	cmd.Env = append(os.Environ(), runEnvVar+"=1", platform.SettingsEnvVar+"="+settings)
+	output, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	is.True(errors.As(err, &exit))
+	is.Equal(exit.ExitCode(), exitInvalidSettings)
+	is.Equal(string(output), settings+`:3: BindAddresses.Readiness is ""; it must be host:port with a port from 1 to 65535
+`+settings+`:4: Limits.MemoryMb is 0; it must be at least 1
+`+settings+`:5: Orders is "heartbeat"; it must be "push", since workers that fetch their orders are not supported
+`)
+}
+
 // TestSIGHUPDuringStart guards a process whose settings change while it starts: the signal
 // ended it as long as nothing waited for it.
 func TestSIGHUPDuringStart(t *testing.T) {
--- a/internal/clusterconfig/parse.go
+++ b/internal/clusterconfig/parse.go
@@ -39,7 +39,7 @@
 }
 
 // Parse reads and checks a configuration. file is used in error messages only. The
-// error is of type yamldoc.Problems and lists all problems in the order of their
+// error is of type fileproblem.Problems and lists all problems in the order of their
 // lines.
 func Parse(file string, data []byte) (*structs.ClusterConfig, error) {
 	r := &configReader{yamldoc.NewReader(file)}
--- a/internal/jobspec/jobspec.go
+++ b/internal/jobspec/jobspec.go
@@ -37,7 +37,7 @@
 // ParseFile parses the YAML form of a job. A payload is text or, with the tag
 // !!binary, base64. The id may be missing and is empty then; the caller has to set
 // it. file names the document in errors; the file is not opened. An error is of
-// type yamldoc.Problems and lists all faults.
+// type fileproblem.Problems and lists all faults.
 func ParseFile(file string, data []byte) (*structs.Job, error) {
 	r := &reader{yamldoc.NewReader(file)}
 	job := &structs.Job{}
--- a/internal/yamldoc/reader.go
+++ b/internal/yamldoc/reader.go
@@ -17,12 +17,13 @@
 	"fmt"
 	"io"
 	"regexp"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
 
 	"gopkg.in/yaml.v3"
+
+	"gypsumwinch/internal/fileproblem"
 )
 
 // Reader reads the nodes of one document and collects their problems. A faulty
@@ -32,7 +33,7 @@
 // what names the node in messages. A Reader is not safe for concurrent use.
 type Reader struct {
 	file     string
-	problems Problems
+	problems fileproblem.Problems
 }
 
 // NewReader returns a reader for one document. file is the name of the document
@@ -42,16 +43,10 @@
 }
 
 // Err returns all problems found, in order of their lines, as an error of type
-// Problems. It returns nil if there are none. It is called once the document has
+// fileproblem.Problems. It returns nil if there are none. It is called once the document has
 // been read.
 func (r *Reader) Err() error {
-	if len(r.problems) == 0 {
-		return nil
-	}
-	sort.SliceStable(r.problems, func(i, j int) bool {
-		return r.problems[i].Line < r.problems[j].Line
-	})
-	return r.problems
+	return r.problems.Err()
 }
 
 // Document parses data and returns the root node. It returns nil if data is
@@ -94,7 +89,7 @@
 
 // addAtLine adds a problem at a line, for faults that have no node.
 func (r *Reader) addAtLine(line int, reason string) {
-	r.problems = append(r.problems, Problem{File: r.file, Line: line, Reason: reason})
+	r.problems = append(r.problems, fileproblem.Problem{File: r.file, Line: line, Reason: reason})
 }
 
 // syntaxErrorPattern matches the errors of the YAML library that name a line.
