--- a/cmd/gypsumwinch/check.go
+++ b/cmd/gypsumwinch/check.go
@@ -93,11 +93,13 @@
 	if err != nil {
 		return checkedFile{}, err
 	}
-	checked := checkedFile{File: name, Kind: kind}
-	checked.Notes, err = filecheck.File(kind, name, data)
+	// Empty lists, so that scripts read lists in any case.
+	checked := checkedFile{File: name, Kind: kind, Problems: fileproblem.Problems{}, Notes: fileproblem.Problems{}}
+	notes, err := filecheck.File(kind, name, data)
 	if err != nil && !errors.As(err, &checked.Problems) {
 		return checkedFile{}, err
 	}
+	checked.Notes = append(checked.Notes, notes...)
 	checked.Valid = err == nil
 	return checked, nil
 }
