Check the bound of cancellations in the soak, with schedules of prompt cancellations

The soak only checked that tasks of a cancelled job are gone two minutes after the last fault, and cancelled 6 % of the jobs. Runs of cancelled jobs are now judged after a run of the soak by cancel_ms + StopTimeoutMs in calm, as the rule UNASKED says. The check depends on the speed of the machine, so that it is on in gypsumwinch-soak and off in the test.

DrawCancelSchedule draws schedules with 60 to 70 % cancelled jobs, long tasks and calm gaps. New faults: all VMs start together, the owner is removed while its orders are carried out late, workers restart behind a cut, entries of workers expire or name no worker. A denial of a cancellation within 3 s of the acceptance is repeated.

--- a/cmd/gypsumwinch-soak/main.go
+++ b/cmd/gypsumwinch-soak/main.go
@@ -38,6 +38,8 @@
 	rate := flag.Float64("rate", 6, "jobs a second")
 	daemon := flag.String("daemon", "target/gypsumwinchd", "program of the daemon")
 	dir := flag.String("dir", filepath.Join(os.TempDir(), "gypsumwinch-soak"), "directory for schedules, settings and logs")
+	cancels := flag.Bool("cancels", false, "draw schedules with many prompt cancellations and calm gaps between groups of faults")
+	bound := flag.Bool("cancel-bound", true, "check the time in which runs of cancelled jobs end; a machine that is too slow breaks it")
 	schedule := flag.String("schedule", "", "play the schedule in this file instead of drawn ones")
 	flag.Parse()
 
@@ -50,14 +52,18 @@
 		}
 		schedules = append(schedules, s)
 	}
+	draw := soak.DrawSchedule
+	if *cancels {
+		draw = soak.DrawCancelSchedule
+	}
 	for i := uint64(0); *schedule == "" && i < *seeds; i++ {
-		schedules = append(schedules, soak.DrawSchedule(*seed+i, soak.Size{VMs: *vms, Workers: *workers, Traffic: *traffic, JobsPerSecond: *rate}))
+		schedules = append(schedules, draw(*seed+i, soak.Size{VMs: *vms, Workers: *workers, Traffic: *traffic, JobsPerSecond: *rate}))
 	}
-	return playAll(schedules, *parallel, *daemon, *dir)
+	return playAll(schedules, *parallel, soak.Options{Daemon: *daemon, Dir: *dir, ChecksCancelBound: *bound})
 }
 
 // playAll plays schedules, several at a time, prints each result and returns the exit code.
-func playAll(schedules []soak.Schedule, parallel int, daemon, dir string) int {
+func playAll(schedules []soak.Schedule, parallel int, o soak.Options) int {
 	var mu sync.Mutex
 	code := exitOK
 	slots := make(chan struct{}, max(1, parallel))
@@ -66,7 +72,9 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			result, err := soak.Run(s, daemon, filepath.Join(dir, fmt.Sprintf("seed-%d", s.Seed)))
+			options := o
+			options.Dir = filepath.Join(o.Dir, fmt.Sprintf("seed-%d", s.Seed))
+			result, err := soak.Run(s, options)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -28,12 +28,23 @@
 	// impatientShare is the share of the callers that give up after one attempt. A job that
 	// was refused then must not run.
 	impatientShare = 0.2
+	// minLongTask is the shortest time that a long task runs; the longest is twice that.
+	minLongTask = 10 * time.Second
 	// pollInterval is the time between two questions for the state of a job.
 	pollInterval = 700 * time.Millisecond
 	// visibleAfter is how long an accepted job may be unknown.
 	visibleAfter = 3 * time.Second
-	// cancelShare is the share of the jobs that are cancelled.
-	cancelShare = 0.06
+	// defaultCancelShare is the share of the jobs that are cancelled in most schedules.
+	defaultCancelShare = 0.06
+	// defaultCancelDelay and promptCancelDelay are the longest times between the acceptance of
+	// a job and its cancellation.
+	defaultCancelDelay = 2 * time.Second
+	promptCancelDelay  = 2500 * time.Millisecond
+	// lateCancelShare is the share of the prompt cancellations that are sent after visibleAfter
+	// instead, when a VM that denies the job is believed.
+	lateCancelShare = 0.15
+	// lateCancelSpread is how much later they are sent.
+	lateCancelSpread = 4 * time.Second
 	// recoveryTimeout is how long after the last fault each accepted job must have ended. It
 	// is far above what the rules allow, so that a slow machine does not decide the verdict.
 	recoveryTimeout = 2 * time.Minute
@@ -41,21 +52,25 @@
 
 // callers submits jobs and follows them.
 type callers struct {
-	cluster *cluster
-	client  *http.Client
-	ready   []atomic.Bool
+	cluster  *cluster
+	schedule Schedule
+	client   *http.Client
+	ready    []atomic.Bool
 	// overdue is closed recoveryTimeout after the last fault.
 	overdue chan struct{}
 
 	submitted, accepted, rejected, unknown, completed, failed, cancelled, unanswered atomic.Int64
 	wg                                                                               sync.WaitGroup
+
+	mu            sync.Mutex
+	cancellations []cancellation
 }
 
 // newCallers returns callers that keep their connections open until the peer closes them.
-func newCallers(c *cluster) *callers {
+func newCallers(c *cluster, s Schedule) *callers {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	return &callers{
-		cluster: c, client: &http.Client{Transport: transport, Timeout: requestTimeout + 500*time.Millisecond},
+		cluster: c, schedule: s, client: &http.Client{Transport: transport, Timeout: requestTimeout + 500*time.Millisecond},
 		ready: make([]atomic.Bool, len(c.vms)), overdue: make(chan struct{}),
 	}
 }
@@ -155,6 +170,9 @@
 			"Count": s.Count, "Cpu": s.MilliCPU, "MemMb": s.MemoryMB, "EstimatedMs": 900, "Gang": s.Gang, "DependsOn": s.DependsOn,
 		})
 	}
+	if rand.Float64() < cs.schedule.LongShare {
+		def.Steps[0].Duration = minLongTask + time.Duration(rand.Int64N(int64(minLongTask)))
+	}
 	cs.cluster.fleet.AddJob(def)
 	body, err := json.Marshal(map[string]any{"Spec": def.Spec, "Phases": phases})
 	if err != nil {
@@ -179,14 +197,53 @@
 	if !cs.submit(j, body) {
 		return
 	}
-	if rand.Float64() < cancelShare {
-		time.Sleep(time.Duration(rand.Int64N(int64(2 * time.Second))))
+	if delay, isCancelled := cs.drawCancellation(); isCancelled {
+		time.Sleep(delay)
 		j.isCancel = true
 		cs.cancel(j)
 	}
 	cs.follow(j)
 }
 
+// drawCancellation draws whether a job is cancelled, and how long after its acceptance.
+func (cs *callers) drawCancellation() (delay time.Duration, isCancelled bool) {
+	share := cs.schedule.PromptCancelShare
+	if share == 0 {
+		return time.Duration(rand.Int64N(int64(defaultCancelDelay))), rand.Float64() < defaultCancelShare
+	}
+	delay = time.Duration(rand.Int64N(int64(promptCancelDelay)))
+	if rand.Float64() < lateCancelShare {
+		delay = visibleAfter + time.Duration(rand.Int64N(int64(lateCancelSpread)))
+	}
+	return delay, rand.Float64() < share
+}
+
+// pickCanceller returns the VM that is asked to cancel a job: with prompt cancellations a third
+// each are sent to a small VM, and to the VM that has started last, in rotation or not.
+func (cs *callers) pickCanceller() int {
+	kind := rand.IntN(3)
+	if cs.schedule.PromptCancelShare == 0 || kind == 0 {
+		return cs.pickVM()
+	}
+	var candidates []int
+	newest, newestStart := 0, time.Time{}
+	for i, v := range cs.cluster.vms {
+		v.mu.Lock()
+		startedAt, isUp := v.startedAt, v.process != nil
+		v.mu.Unlock()
+		if isUp && v.isSmall {
+			candidates = append(candidates, i)
+		}
+		if isUp && startedAt.After(newestStart) {
+			newest, newestStart = i, startedAt
+		}
+	}
+	if kind == 1 && len(candidates) > 0 {
+		return candidates[rand.IntN(len(candidates))]
+	}
+	return newest
+}
+
 // submit submits a job until it is accepted or the caller gives up, and reports whether it
 // was accepted.
 func (cs *callers) submit(j *job, body []byte) (accepted bool) {
@@ -220,11 +277,17 @@
 	return false
 }
 
-// cancel cancels a job until that is acknowledged.
+// cancel cancels a job until that is acknowledged. A VM may not know the job until visibleAfter
+// after its acceptance, so that a denial counts as an acknowledgement only later.
 func (cs *callers) cancel(j *job) {
 	for {
-		resp, err := cs.call(cs.pickVM(), http.MethodDelete, j.path, nil)
-		if err == nil && (resp.status == http.StatusOK || resp.status == http.StatusGone) {
+		i := cs.pickCanceller()
+		resp, err := cs.call(i, http.MethodDelete, j.path, nil)
+		now := time.Now()
+		if err == nil && (resp.status == http.StatusOK || resp.status == http.StatusGone && now.Sub(j.acceptedAt) > visibleAfter) {
+			cs.mu.Lock()
+			defer cs.mu.Unlock()
+			cs.cancellations = append(cs.cancellations, cancellation{j.id, j.acceptedAt, now, cs.cluster.vms[i].name, resp.status})
 			return
 		}
 		if cs.isOverdue() {
@@ -336,6 +399,9 @@
 // awaitNewestVersion waits until a VM has the newest configuration in force, and no route of
 // the version before.
 func (cs *callers) awaitNewestVersion(i int) {
+	if cs.cluster.vms[i].isRemoved() {
+		return
+	}
 	version := cs.cluster.newestVersion()
 	isInForce := func(version int64, status int) bool {
 		resp, err := cs.call(i, http.MethodGet, versionPath(version), nil)
@@ -363,8 +429,11 @@
 		case <-time.After(pollInterval):
 		}
 		v.mu.Lock()
-		current := v.process
+		current, isGone := v.process, v.isClosed
 		v.mu.Unlock()
+		if isGone {
+			return
+		}
 		if current != process {
 			process, newestSeen = current, 0
 		}
--- /dev/null
+++ b/internal/soak/cancelbound.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"time"
+
+	"gypsumwinch/standin/fleet"
+)
+
+const (
+	// cancelBound is cancel_ms of the platform: after the acknowledgement of a cancellation no
+	// task of the job starts later than this.
+	cancelBound = 3 * time.Second
+	// contactBound is ContactMs of the platform: time-bound rules hold once there has been no
+	// fault for this long.
+	contactBound = 3 * time.Second
+	// stopBound is how long after the acknowledgement a run of a cancelled job may go on.
+	stopBound = cancelBound + fleet.StopTimeout
+)
+
+// cancellation is a cancellation that was acknowledged.
+type cancellation struct {
+	job            string
+	acceptedAt     time.Time
+	acknowledgedAt time.Time
+	vm             string
+	status         int
+}
+
+// span is the time of one fault.
+type span struct{ begin, end time.Time }
+
+// isCalm reports whether no fault was in force from contactBound before a time until another.
+func isCalm(faults []span, from, to time.Time) bool {
+	from = from.Add(-contactBound)
+	for _, f := range faults {
+		if f.begin.Before(to) && f.end.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// calmStretch returns the begin of the first stretch of stopBound, not before a time, that was
+// calm.
+func calmStretch(faults []span, from, now time.Time) (begin time.Time, ok bool) {
+	begins := []time.Time{from}
+	for _, f := range faults {
+		begins = append(begins, f.end.Add(contactBound))
+	}
+	for _, b := range begins {
+		end := b.Add(stopBound)
+		if !b.Before(from) && end.Before(now) && (!ok || b.Before(begin)) && isCalm(faults, b, end) {
+			begin, ok = b, true
+		}
+	}
+	return begin, ok
+}
+
+// runBound is what the bound of cancellations says of one run of a cancelled job.
+type runBound struct {
+	// applies is true if the run was active in a calm stretch after the acknowledgement.
+	applies bool
+	// startsTooLate is true if it started later than cancelBound after the acknowledgement.
+	startsTooLate bool
+	// runsOn is true if it was active at the end of the calm stretch, which began at calmFrom.
+	runsOn   bool
+	calmFrom time.Time
+}
+
+// judgeRun applies the bound to a run. A start that its worker carried out late was ordered
+// before; its end is due stopBound after contactBound after it.
+func judgeRun(r fleet.Run, acknowledgedAt time.Time, faults []span, now time.Time) runBound {
+	from, end := acknowledgedAt, r.EndedAt
+	if end.IsZero() {
+		end = now
+	}
+	if noticedAt := r.StartedAt.Add(contactBound); r.IsLate && noticedAt.After(from) {
+		from = noticedAt
+	}
+	var b runBound
+	b.startsTooLate = !r.IsLate && r.StartedAt.After(acknowledgedAt.Add(cancelBound)) && isCalm(faults, r.StartedAt, r.StartedAt)
+	calmFrom, ok := calmStretch(faults, from, now)
+	dueAt := calmFrom.Add(stopBound)
+	b.calmFrom = calmFrom
+	b.applies = ok && end.After(calmFrom) && r.StartedAt.Before(dueAt)
+	b.runsOn = b.applies && end.After(dueAt)
+	return b
+}
+
+// judgeCancellations reports the runs of cancelled jobs that broke the bound, and returns the
+// number of runs to which it applied. Its verdict depends on the time that the machine takes.
+func (c *cluster) judgeCancellations(cancellations []cancellation) (judged int) {
+	now := time.Now()
+	second := func(t time.Time) float64 { return t.Sub(c.startedAt).Seconds() }
+	for _, x := range cancellations {
+		for _, r := range c.fleet.Runs(x.job) {
+			b := judgeRun(r, x.acknowledgedAt, c.faultSpans, now)
+			if b.applies {
+				judged++
+			}
+			end := r.EndedAt
+			if end.IsZero() {
+				end = now
+			}
+			const times = "job %s accepted at %.3f, cancellation acknowledged by %s at %.3f (status %d)"
+			if b.startsTooLate {
+				c.reportAt(r.StartedAt, "UNASKED", "run %d of %s starts on %s %v after the acknowledgement; "+times,
+					r.Number, r.Task, r.Worker, r.StartedAt.Sub(x.acknowledgedAt).Round(time.Millisecond), x.job, second(x.acceptedAt), x.vm, second(x.acknowledgedAt), x.status)
+			}
+			if b.runsOn {
+				c.reportAt(b.calmFrom.Add(stopBound), "UNASKED", "run %d of %s, started at %.3f (late: %t), runs on on %s until %.3f; calm from %.3f; "+times,
+					r.Number, r.Task, second(r.StartedAt), r.IsLate, r.Worker, second(end), second(b.calmFrom), x.job, second(x.acceptedAt), x.vm, second(x.acknowledgedAt), x.status)
+			}
+		}
+	}
+	return judged
+}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -61,6 +61,10 @@
 	version  int64
 	sequence int64
 	faults   storeFaults
+	// removedVMs counts the VMs that are gone for good.
+	removedVMs int
+	// faultSpans are the times of the faults that were injected.
+	faultSpans []span
 }
 
 // workerSlot is a worker with its proxy.
@@ -68,6 +72,8 @@
 	*fleet.Worker
 	proxy *Proxy
 	addr  string
+	// entry is what the worker writes about itself. The mutex of the cluster guards it.
+	entry entryKind
 }
 
 // newCluster starts stand-ins and VMs. Logs and settings are in dir.
@@ -171,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	v := &vm{name: name, ip: c.ip(1, i), settingsPath: filepath.Join(c.dir, name+".json"), daemon: daemon, storeProxy: storeProxy, report: c.report}
+	v := &vm{name: name, isSmall: i >= 3 && i%3 == 0, ip: c.ip(1, i), settingsPath: filepath.Join(c.dir, name+".json"), daemon: daemon, storeProxy: storeProxy, report: c.report}
 	v.callerProxy, err = c.proxy(c.addr(7, i, callerPort), c.addr(1, i, callerPort), v.requestCut)
 	if err != nil {
 		return err
@@ -182,13 +188,13 @@
 	c.vms = append(c.vms, v)
 	// Every third VM from the fourth on is too small to be a follower.
 	share := 0.8
-	if i >= 3 && i%3 == 0 {
+	if v.isSmall {
 		share = 0.2
 	}
 	settings := storeserver.VMSettings{
 		Name: name, Zone: fmt.Sprintf("dc-%d", i%3), IP: v.ip, CallerPort: callerPort, ReadinessPort: readinessPort, PeerPort: peerPort,
 		StoreAddr: c.addr(5, i, storePort), AdviceAddr: c.addr(6, 1, advicePort), CPUShare: share,
-		MaxLease: fleet.MaxLease, Grace: grace, GangTimeout: fleet.GangTimeout,
+		MaxLease: fleet.MaxLease, Grace: grace, GangTimeout: fleet.GangTimeout, StopTimeout: fleet.StopTimeout,
 	}
 	if err := settings.WriteFile(v.settingsPath); err != nil {
 		return eris.Wrap(err, "write settings")
@@ -209,9 +215,14 @@
 
 // report adds a broken rule that no worker sees.
 func (c *cluster) report(rule, format string, args ...any) {
+	c.reportAt(time.Now(), rule, format, args...)
+}
+
+// reportAt adds a rule that was broken at an earlier time.
+func (c *cluster) reportAt(at time.Time, rule, format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.violations = append(c.violations, fmt.Sprintf("%.3f %s: %s", time.Since(c.startedAt).Seconds(), rule, fmt.Sprintf(format, args...)))
+	c.violations = append(c.violations, fmt.Sprintf("%.3f %s: %s", at.Sub(c.startedAt).Seconds(), rule, fmt.Sprintf(format, args...)))
 }
 
 // allViolations returns the broken rules that anyone has seen.
@@ -304,9 +315,9 @@
 func (c *cluster) writeWorker(w *workerSlot) {
 	c.mu.Lock()
 	c.sequence++
-	sequence := c.sequence
+	sequence, entry := c.sequence, w.entry
 	c.mu.Unlock()
-	err := c.store.WriteWorker(storeserver.WorkerEntry{
+	err := w.writeEntry(c.store, entry, storeserver.WorkerEntry{
 		ID: w.ID, Service: service, Addr: w.addr, Zone: "dc-0", MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB, Sequence: sequence, Born: w.Born(),
 	})
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,6 +24,10 @@
 	workerShare = 0.25
 	// seriesLength is the number of configurations of a series.
 	seriesLength = 10
+	// lateBeforeRemoval is how long orders are carried out late before their sender is removed.
+	lateBeforeRemoval = time.Second
+	// lateShareBeforeRemoval is the share of them.
+	lateShareBeforeRemoval = 0.5
 )
 
 // storeFaults counts the faults of the store that are in force: several may overlap.
@@ -59,11 +63,15 @@
 	v := c.vms[f.Target%len(c.vms)]
 	switch f.Kind {
 	case KillVM:
-		v.kill(f.For)
+		v.kill(f.For, true)
 	case KillOwner:
-		c.ownerVM(v).kill(f.For)
+		c.ownerVM(v).kill(f.For, true)
 	case KillAll:
-		c.forEachVM(func(v *vm) { v.kill(f.For) })
+		c.forEachVM(func(v *vm) { v.kill(f.For, true) })
+	case RestartTogether:
+		c.restartTogether()
+	case RemoveOwner:
+		c.removeOwner(v, f.For)
 	case PauseVM:
 		v.pause(f.For)
 	case PauseOwner:
@@ -132,10 +140,15 @@
 	case DelayWorkers:
 		c.cutWorkers(f, LinkState{Delay: linkDelay})
 	case LateOrders:
-		late := fleet.OrderFault{LateShare: orderFaultShare, LateBy: 2*time.Second + time.Duration(rand.Int64N(int64(3*time.Second)))}
-		c.disturbOrders(f.For, late)
+		c.disturbOrders(f.For, lateOrders(orderFaultShare))
 	case LostAnswers:
 		c.disturbOrders(f.For, fleet.OrderFault{LoseShare: orderFaultShare})
+	case RestartBehindCut:
+		c.restartBehindCut(f)
+	case ExpireEntries:
+		c.disturbEntries(f, entryRemoved)
+	case OddEntries:
+		c.disturbEntries(f, oddEntries[f.Target%len(oddEntries)])
 	case FailingWorkers:
 		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.SetFailsAll(true) })
 		time.Sleep(f.For)
@@ -166,6 +179,35 @@
 	}
 }
 
+// restartTogether kills all VMs and starts them again once all have ended.
+func (c *cluster) restartTogether() {
+	c.forEachVM(func(v *vm) { v.kill(0, false) })
+	c.forEachVM(func(v *vm) { _ = v.start() })
+}
+
+// removeOwner makes workers carry out orders late, and removes the VM that owns the cell, which
+// has sent them. If a third of the VMs is removed already, it is killed for a time instead.
+func (c *cluster) removeOwner(fallback *vm, downFor time.Duration) {
+	c.disturbOrders(lateBeforeRemoval, lateOrders(lateShareBeforeRemoval))
+	owner := c.ownerVM(fallback)
+	c.mu.Lock()
+	mayRemove := 3*(c.removedVMs+1) <= len(c.vms)
+	if mayRemove {
+		c.removedVMs++
+	}
+	c.mu.Unlock()
+	if mayRemove {
+		owner.remove()
+		return
+	}
+	owner.kill(downFor, true)
+}
+
+// lateOrders returns the fault of workers that carry out a share of the orders late.
+func lateOrders(share float64) fleet.OrderFault {
+	return fleet.OrderFault{LateShare: share, LateBy: 2*time.Second + time.Duration(rand.Int64N(int64(3*time.Second)))}
+}
+
 // breakLink changes the link of a VM for a time.
 func (c *cluster) breakLink(d time.Duration, v *vm, p *Proxy, state LinkState) {
 	end := v.beginDisruption()
@@ -221,6 +263,38 @@
 	c.writeWorker(w)
 }
 
+// restartBehindCut restarts a quarter of the workers while they are cut off.
+func (c *cluster) restartBehindCut(f Fault) {
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) {
+		w.proxy.SetState(LinkState{DropRequests: true, DropAnswers: true})
+		if f.Target%2 == 1 {
+			c.setEntry(w, entryUnchanged)
+		}
+		w.Restart()
+		c.writeWorker(w)
+	})
+	time.Sleep(f.For)
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) {
+		w.proxy.SetState(LinkState{})
+		w.proxy.Reset()
+		c.setEntry(w, entryValid)
+		c.writeWorker(w)
+	})
+}
+
+// disturbEntries replaces the entries of a quarter of the workers for a time.
+func (c *cluster) disturbEntries(f Fault, entry entryKind) {
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) {
+		c.setEntry(w, entry)
+		c.writeWorker(w)
+	})
+	time.Sleep(f.For)
+	c.forEachOfAQuarter(f.Target, func(w *workerSlot) {
+		c.setEntry(w, entryValid)
+		c.writeWorker(w)
+	})
+}
+
 // cutWorkers changes the links of a quarter of the workers for a time.
 func (c *cluster) cutWorkers(f Fault, state LinkState) {
 	c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.proxy.SetState(state) })
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -22,6 +22,11 @@
 	KillOwner Kind = "kill-owner"
 	// KillAll kills all VMs at once.
 	KillAll Kind = "kill-all"
+	// RestartTogether kills all VMs and starts them again at the same moment.
+	RestartTogether Kind = "restart-together"
+	// RemoveOwner makes all workers carry out half of the orders 2 to 5 s late, without an
+	// answer, for at most lateBeforeRemoval, and then kills the VM that owns the cell for good.
+	RemoveOwner Kind = "remove-owner"
 	// PauseVM stops a VM's process with SIGSTOP for For. Target: VM.
 	PauseVM Kind = "pause-vm"
 	// PauseOwner is PauseVM for the VM that owns the cell.
@@ -78,6 +83,14 @@
 	LostAnswers Kind = "lost-answers"
 	// FailingWorkers makes a quarter of the workers fail all that they start for For.
 	FailingWorkers Kind = "failing-workers"
+	// RestartBehindCut restarts a quarter of the workers under their IDs while they are cut
+	// off for For. For odd targets their entries are written again only after that.
+	RestartBehindCut Kind = "restart-behind-cut"
+	// ExpireEntries removes the entries of a quarter of the workers for For.
+	ExpireEntries Kind = "expire-entries"
+	// OddEntries replaces the entries of a quarter of the workers for For by entries that
+	// name no worker. Target: first worker and kind of entry.
+	OddEntries Kind = "odd-entries"
 	// Publish publishes a configuration.
 	Publish Kind = "publish"
 	// PublishSeries publishes ten configurations in quick succession.
@@ -90,6 +103,7 @@
 	StoreRefuses, StoreSilent, StoreSlow, StoreSlow, StoreLosesAnswers, StoreLate, StoreForgets, StoreTurnsAway, StoreTurnsOwnerAway,
 	CutStore, CutStoreAnswers, DelayStore, ResetStore, ResetCallers,
 	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, DelayWorkers, LateOrders, LostAnswers, FailingWorkers,
+	RestartTogether, RemoveOwner, RestartBehindCut, ExpireEntries, OddEntries,
 	Publish, PublishSeries,
 }
 
@@ -111,7 +125,13 @@
 	Traffic time.Duration `yaml:"traffic"`
 	// JobsPerSecond is the rate at which callers submit jobs.
 	JobsPerSecond float64 `yaml:"jobs_per_second"`
-	Faults        []Fault `yaml:"faults"`
+	// PromptCancelShare is the share of the jobs that are cancelled within seconds of their
+	// acceptance, often by a small VM or one that has just started. If it is 0, defaultCancelShare
+	// of the jobs are cancelled, by any VM.
+	PromptCancelShare float64 `yaml:"prompt_cancel_share,omitempty"`
+	// LongShare is the share of the jobs with a step whose tasks run for 10 to 20 s.
+	LongShare float64 `yaml:"long_share,omitempty"`
+	Faults    []Fault `yaml:"faults"`
 }
 
 // Size is the size of a run.
@@ -150,6 +170,42 @@
 	return s
 }
 
+const (
+	// calmGap is the least time between the end of a group of faults and the next group: contactBound,
+	// the time in which the runs of a cancelled job must end, and some margin.
+	calmGap = 7 * time.Second
+	// calmGapSpread is how much longer a gap may be.
+	calmGapSpread = 4 * time.Second
+	// maxGroupFaults is the largest number of faults in a group.
+	maxGroupFaults = 4
+	// meanGroupGap is the mean time between the beginnings of two faults of a group.
+	meanGroupGap = 600 * time.Millisecond
+	// longShare is the share of the jobs with long tasks in a schedule of prompt cancellations.
+	longShare = 0.4
+)
+
+// DrawCancelSchedule draws a schedule from a seed in which most jobs are cancelled, and in
+// which groups of faults have calm gaps between them, so that the bound of cancellations applies.
+func DrawCancelSchedule(seed uint64, size Size) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := Schedule{
+		Seed: seed, VMs: size.VMs, Workers: size.Workers, Traffic: size.Traffic, JobsPerSecond: size.JobsPerSecond,
+		PromptCancelShare: 0.6 + 0.1*rng.Float64(), LongShare: longShare,
+	}
+	for at := quietStart; at < size.Traffic; {
+		groupEnd := at
+		for range 1 + rng.IntN(maxGroupFaults) {
+			duration := time.Duration(rng.Int64N(int64(maxFaultTime))) + 100*time.Millisecond
+			f := Fault{At: at.Round(time.Millisecond), Kind: kinds[rng.IntN(len(kinds))], For: duration.Round(time.Millisecond), Target: rng.IntN(1000)}
+			s.Faults = append(s.Faults, f)
+			groupEnd = max(groupEnd, f.At+f.For)
+			at += time.Duration(rng.ExpFloat64() * float64(meanGroupGap))
+		}
+		at = groupEnd + calmGap + time.Duration(rng.Int64N(int64(calmGapSpread)))
+	}
+	return s
+}
+
 // ReadSchedule reads a schedule that WriteFile has written.
 func ReadSchedule(path string) (Schedule, error) {
 	data, err := os.ReadFile(path)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -21,6 +21,31 @@
 	is.Equal(read, s)
 }
 
+// TestCancelScheduleHasCalmGaps guards against schedules in which the bound of cancellations never applies.
+func TestCancelScheduleHasCalmGaps(t *testing.T) {
+	is := is.New(t)
+	size := Size{VMs: 3, Workers: 8, Traffic: 60 * time.Second, JobsPerSecond: 4}
+	for seed := range uint64(50) {
+		s := DrawCancelSchedule(seed, size)
+		is.Equal(s, DrawCancelSchedule(seed, size))
+		is.True(s.PromptCancelShare >= 0.6 && s.PromptCancelShare <= 0.7)
+		gaps, end := 0, time.Duration(0)
+		for _, f := range s.Faults {
+			if f.At >= end+calmGap {
+				gaps++
+			}
+			end = max(end, f.At+f.For)
+		}
+		is.True(gaps >= 2) // gaps between groups of faults
+	}
+	path := filepath.Join(t.TempDir(), "schedule.yaml")
+	s := DrawCancelSchedule(1, size)
+	is.NoErr(s.WriteFile(path))
+	read, err := ReadSchedule(path)
+	is.NoErr(err)
+	is.Equal(read, s)
+}
+
 // TestKeptSchedulesCanBePlayed guards against a schedule that once broke a rule and cannot be read any more.
 func TestKeptSchedulesCanBePlayed(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,8 @@
 	Submitted, Accepted, Rejected, Unknown,
 	Completed, Failed, Cancelled, Unanswered int64
 	Starts int
+	// BoundRuns is the number of runs of cancelled jobs to which the bound of cancellations applied.
+	BoundRuns int
 	// Owners counts the changes of the owner.
 	Owners int
 	// Recovery is the time from the last fault until each accepted job had ended.
@@ -34,8 +36,8 @@
 
 // Print writes the result as a line, and a line for each broken rule.
 func (r Result) Print(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d recovery %.1f s broken rules %d\n",
-		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.Recovery.Seconds(), len(r.Violations))
+	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d bound runs %d recovery %.1f s broken rules %d\n",
+		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.BoundRuns, r.Recovery.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "  ", v)
 	}
@@ -44,21 +46,31 @@
 // startupTime is what the VMs have to elect an owner before the traffic starts.
 const startupTime = 2 * time.Second
 
-// Run plays a schedule with the daemon's program, and writes the schedule, the settings and the logs
-// of the VMs to dir. An error means that the run could not be played.
-func Run(s Schedule, daemon, dir string) (Result, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+// Options are what a run needs besides its schedule.
+type Options struct {
+	// Daemon is the program of the daemon.
+	Daemon string
+	// Dir is the directory for the schedule, the settings and the logs of the VMs.
+	Dir string
+	// ChecksCancelBound is true if runs of cancelled jobs must end within the time that the platform
+	// allows. A machine that is too slow breaks it.
+	ChecksCancelBound bool
+}
+
+// Run plays a schedule. An error means that the run could not be played.
+func Run(s Schedule, o Options) (Result, error) {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return Result{}, eris.Wrap(err, "create directory of the run")
 	}
-	if err := s.WriteFile(filepath.Join(dir, "schedule.yaml")); err != nil {
+	if err := s.WriteFile(filepath.Join(o.Dir, "schedule.yaml")); err != nil {
 		return Result{}, err
 	}
-	c, err := newCluster(s, daemon, dir)
+	c, err := newCluster(s, o.Daemon, o.Dir)
 	if err != nil {
 		return Result{}, err
 	}
 	defer c.close()
-	cs := newCallers(c)
+	cs := newCallers(c, s)
 	stop := make(chan struct{})
 	var watchers sync.WaitGroup
 	for i := range c.vms {
@@ -81,10 +93,14 @@
 	}
 	close(stop)
 	watchers.Wait()
+	boundRuns := 0
+	if o.ChecksCancelBound {
+		boundRuns = c.judgeCancellations(cs.cancellations)
+	}
 	return Result{
 		Seed: s.Seed, Violations: c.allViolations(), Submitted: cs.submitted.Load(), Accepted: cs.accepted.Load(),
 		Rejected: cs.rejected.Load(), Unknown: cs.unknown.Load(), Completed: cs.completed.Load(), Failed: cs.failed.Load(),
-		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, Recovery: recovery,
+		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, BoundRuns: boundRuns, Recovery: recovery,
 	}, nil
 }
 
@@ -94,7 +110,13 @@
 	var wg sync.WaitGroup
 	for _, f := range faults {
 		time.Sleep(time.Until(startedAt.Add(f.At)))
-		wg.Go(func() { c.inject(f) })
+		wg.Go(func() {
+			begin := time.Now()
+			c.inject(f)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.faultSpans = append(c.faultSpans, span{begin, time.Now()})
+		})
 	}
 	wg.Wait()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,8 +25,13 @@
 		t.Fatalf("build the daemon: %v\n%s", err, output)
 	}
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
-		s := DrawSchedule(seed, Size{VMs: 4, Workers: 12, Traffic: 15 * time.Second, JobsPerSecond: 4})
-		result, err := Run(s, daemon, filepath.Join(dir, "run"))
+		size := Size{VMs: 4, Workers: 12, Traffic: 15 * time.Second, JobsPerSecond: 4}
+		s := DrawSchedule(seed, size)
+		if seed%2 == 0 {
+			s = DrawCancelSchedule(seed, size)
+		}
+		// The bound of cancellations depends on how fast the machine is.
+		result, err := Run(s, Options{Daemon: daemon, Dir: filepath.Join(dir, "run"), ChecksCancelBound: false})
 		is.NoErr(err)
 		result.Print(testWriter{t})
 		is.Equal(result.Violations, nil)
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -30,13 +30,17 @@
 	log          *os.File
 	storeProxy   *Proxy
 	callerProxy  *Proxy
-	report       func(rule, format string, args ...any)
+	// isSmall is true for a VM that is too small to be a follower.
+	isSmall bool
+	report  func(rule, format string, args ...any)
 
 	mu sync.Mutex
 	// process is nil while the VM is down.
 	process *process
 	// isClosed is true once the run is over.
 	isClosed bool
+	// startedAt is when the newest process was started.
+	startedAt time.Time
 	// disruptedAt is when the last fault of the VM began or ended; SIGTERM and SIGHUP are none.
 	disruptedAt time.Time
 	// disruptions counts the faults that last.
@@ -65,7 +69,7 @@
 		return eris.Wrapf(err, "start VM %s", v.name)
 	}
 	p := &process{cmd: cmd, ended: make(chan struct{})}
-	v.process = p
+	v.process, v.startedAt = p, time.Now()
 	go v.await(p)
 	return nil
 }
@@ -132,15 +136,32 @@
 	}
 }
 
-// kill kills the process and starts it again after a time.
-func (v *vm) kill(downFor time.Duration) {
+// kill kills the process and starts it again after a time, if isBack is true.
+func (v *vm) kill(downFor time.Duration, isBack bool) {
 	end := v.beginDisruption()
 	defer end()
 	if p := v.signal(syscall.SIGKILL, true); p != nil {
 		<-p.ended
 	}
 	time.Sleep(downFor)
-	_ = v.start()
+	if isBack {
+		_ = v.start()
+	}
+}
+
+// remove kills the process for good.
+func (v *vm) remove() {
+	v.mu.Lock()
+	v.isClosed = true
+	v.mu.Unlock()
+	v.kill(0, false)
+}
+
+// isRemoved reports whether the VM is gone for good.
+func (v *vm) isRemoved() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.isClosed
 }
 
 // pause stops the process for a time without its knowledge.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -20,6 +20,8 @@
 	tickInterval = 10 * time.Millisecond
 	// stopTime is how long a worker takes to stop a run.
 	stopTime = 80 * time.Millisecond
+	// StopTimeout is the longest time that a worker may take to stop a run.
+	StopTimeout = 200 * time.Millisecond
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease = 6 * time.Second
 	// GangTimeout is how long a run of a gang waits for the others.
@@ -115,6 +117,10 @@
 	worker    *Worker
 	step      *Step
 	startedAt time.Time
+	// endedAt is when the run ended; zero while it is active.
+	endedAt time.Time
+	// isLate is true if the worker carried the order to start out late.
+	isLate bool
 	// workEndsAt is when the task's work is done; zero while a gang waits.
 	workEndsAt time.Time
 	fails      bool
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -197,3 +197,28 @@
 	done, _ := f.IsDone(jobID)
 	is.True(done)
 }
+
+// TestRunsAreListed guards against a record of runs that lacks their ends, or does not tell the starts that were carried out late.
+func TestRunsAreListed(t *testing.T) {
+	is := is.New(t)
+	step := short()
+	step.Count = 2
+	f := newTestFleet(t, step)
+	f.start("a", 0, 0, 1)
+	f.renew("a", 0)
+	f.w["b"].SetOrderFault(fleet.OrderFault{LateShare: 1, LateBy: 10 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+	defer cancel()
+	task := cell.TaskID{StepID: cell.StepID{Job: jobID}, Index: 1}
+	_, _, err := f.client.Start(ctx, cell.Start{Task: task, Run: 1, Worker: "b", Addr: f.addrs["b"], Spec: "spec", LeaseEnd: time.Hour, Token: 1})
+	is.True(err != nil)
+	for len(f.Runs(jobID)) < 2 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	runs := f.Runs(jobID)
+	is.Equal(runs[0].Worker, "a")
+	is.True(!runs[0].IsLate)
+	is.True(!runs[0].EndedAt.IsZero())
+	is.Equal(runs[1].Worker, "b")
+	is.True(runs[1].IsLate)
+}
--- a/standin/fleet/http.go
+++ b/standin/fleet/http.go
@@ -21,6 +21,8 @@
 	Ticket       string
 	AckCursor    int64
 	WaitMs       int64
+	// isLate is true if the worker carries the order out late.
+	isLate bool
 }
 
 // answer is a worker's response.
@@ -74,6 +76,7 @@
 		}
 		isLost, lateBy := w.drawFault()
 		if lateBy > 0 {
+			o.isLate = true
 			time.AfterFunc(lateBy, func() { execute() })
 		}
 		if lateBy > 0 || isLost {
@@ -152,7 +155,7 @@
 	if s.NeedsTickets && (o.Ticket != w.ticket(stepOf(o.Task)) || now.After(f.tickets[o.Ticket])) {
 		return http.StatusConflict, "ticket"
 	}
-	r := &run{task: o.Task, number: o.Run, worker: w, step: s, startedAt: now, fails: w.failsAll || f.rng.Float64() < s.FailureRate}
+	r := &run{task: o.Task, number: o.Run, worker: w, step: s, startedAt: now, isLate: o.isLate, fails: w.failsAll || f.rng.Float64() < s.FailureRate}
 	previous := w.runs[o.Task]
 	w.runs[o.Task] = r
 	f.recordStart(r, j, step)
--- a/standin/fleet/rules.go
+++ b/standin/fleet/rules.go
@@ -17,6 +17,8 @@
 // taskRecord is what the fleet knows of the runs of a task.
 type taskRecord struct {
 	active []*run
+	// runs are all runs, also those that have ended.
+	runs   []*run
 	starts []time.Time
 	ends   []*taskEnd
 	// isReported is true once a broken rule of the task has been reported, so that one
@@ -108,6 +110,33 @@
 	return running
 }
 
+// Run is one run of a task as its worker has seen it.
+type Run struct {
+	Task      string
+	Number    int
+	Worker    string
+	StartedAt time.Time
+	// EndedAt is zero while the run is active.
+	EndedAt time.Time
+	// IsLate is true if the worker carried the order to start out late.
+	IsLate bool
+}
+
+// Runs returns all runs of a job's tasks.
+func (f *Fleet) Runs(id string) []Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var runs []Run
+	for step, s := range f.jobs[id].Steps {
+		for i := range s.Count {
+			for _, r := range f.task(taskName(id, step, i)).runs {
+				runs = append(runs, Run{Task: r.task, Number: r.number, Worker: r.worker.ID, StartedAt: r.startedAt, EndedAt: r.endedAt, IsLate: r.isLate})
+			}
+		}
+	}
+	return runs
+}
+
 // Starts returns the number of runs that have started.
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
@@ -166,6 +195,7 @@
 		}
 	}
 	t.active = append(t.active, r)
+	t.runs = append(t.runs, r)
 	t.starts = append(t.starts, r.startedAt)
 	f.judgeEnds(r.task, t, j.MaxAttempts)
 	f.judgeCapacity(r.worker)
@@ -235,6 +265,9 @@
 // removeActive removes a run from the active runs of its task.
 func (f *Fleet) removeActive(r *run) {
 	t := f.task(r.task)
+	if r.endedAt.IsZero() {
+		r.endedAt = time.Now()
+	}
 	t.active = slices.DeleteFunc(t.active, func(o *run) bool { return o == r })
 }
 
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -81,6 +81,11 @@
 	return s.write(workersTopic, e.ID, value)
 }
 
+// WriteWorkerValue writes any bytes as the entry of a worker; without any, the entry is removed.
+func (s *Server) WriteWorkerValue(id string, value []byte) error {
+	return s.write(workersTopic, id, value)
+}
+
 func (s *Server) write(topic cell.Topic, key string, value []byte) error {
 	_, err := s.Store.Append(context.Background(), cell.Append{Topic: topic, Records: []cell.KeyValue{{Key: key, Value: value}}, ExpectedEnd: -1})
 	return err
@@ -102,6 +107,7 @@
 	MaxLease      time.Duration
 	Grace         time.Duration
 	GangTimeout   time.Duration
+	StopTimeout   time.Duration
 }
 
 // WriteFile writes the settings file of the process.
@@ -118,7 +124,7 @@
 		"platform": map[string]string{"Address": v.StoreAddr},
 		"Bounds": map[string]any{
 			"MaxHoldMs": v.MaxLease.Milliseconds(), "GraceS": v.Grace.Seconds(), "status_s": 120,
-			"GangTimeoutMs": v.GangTimeout.Milliseconds(), "StopTimeoutMs": 900, "RemoteFactor": 2,
+			"GangTimeoutMs": v.GangTimeout.Milliseconds(), "StopTimeoutMs": v.StopTimeout.Milliseconds(), "RemoteFactor": 2,
 		},
 	}, "", "  ")
 	if err != nil {
