--- a/internal/soak/cancelbound.go
+++ b/internal/soak/cancelbound.go
@@ -87,17 +87,22 @@
 	return b
 }
 
-// judgeCancellations reports the runs of cancelled jobs that broke the bound, and returns the
-// number of runs to which it applied. Its verdict depends on the time that the machine takes.
+// judgeCancellations reports the first run of each cancelled job that broke the bound, and returns
+// the number of runs to which it applied. Its verdict depends on the time that the machine takes.
 func (c *cluster) judgeCancellations(cancellations []cancellation) (judged int) {
 	now := time.Now()
 	second := func(t time.Time) float64 { return t.Sub(c.startedAt).Seconds() }
 	for _, x := range cancellations {
+		isReported := false
 		for _, r := range c.fleet.Runs(x.job) {
 			b := judgeRun(r, x.acknowledgedAt, c.faultSpans, now)
 			if b.applies {
 				judged++
 			}
+			if isReported {
+				continue
+			}
+			isReported = b.startsTooLate || b.runsOn
 			end := r.EndedAt
 			if end.IsZero() {
 				end = now
