--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -54,7 +54,7 @@
 
 	mu         sync.Mutex
 	violations []string
-	// holders has the instance that has used each term.
+	// holders has the VM and the instance of its process that have used each term.
 	holders  map[int64]string
 	owner    string
 	owners   int
@@ -243,17 +243,18 @@
 		return
 	}
 	c.mu.Lock()
+	process := r.Node + "/" + r.Instance
 	holder, isKnown := c.holders[r.Term]
 	if !isKnown {
-		c.holders[r.Term] = r.Instance
+		c.holders[r.Term] = process
 	}
 	if r.Node != c.owner {
 		c.owner = r.Node
 		c.owners++
 	}
 	c.mu.Unlock()
-	if isKnown && holder != r.Instance {
-		c.report("ONE", "processes %s and %s use term %d", holder, r.Instance, r.Term)
+	if isKnown && holder != process {
+		c.report("ONE", "processes %s and %s use term %d", holder, process, r.Term)
 	}
 }
 
