--- a/internal/soak/cancelbound.go
+++ b/internal/soak/cancelbound.go
@@ -65,6 +65,8 @@
 	// runsOn is true if it was active at the end of the calm stretch, which began at calmFrom.
 	runsOn   bool
 	calmFrom time.Time
+	// wentOn is how long it was active in the calm stretch and after it.
+	wentOn time.Duration
 }
 
 // judgeRun applies the bound to a run. A start that its worker carried out late was ordered
@@ -84,12 +86,16 @@
 	b.calmFrom = calmFrom
 	b.applies = ok && end.After(calmFrom) && r.StartedAt.Before(dueAt)
 	b.runsOn = b.applies && end.After(dueAt)
+	if b.applies {
+		b.wentOn = end.Sub(calmFrom)
+	}
 	return b
 }
 
 // judgeCancellations reports the first run of each cancelled job that broke the bound, and returns
-// the number of runs to which it applied. Its verdict depends on the time that the machine takes.
-func (c *cluster) judgeCancellations(cancellations []cancellation) (judged int) {
+// the number of runs to which it applied and how long one of them went on at most. Its verdict
+// depends on the time that the machine takes.
+func (c *cluster) judgeCancellations(cancellations []cancellation) (judged int, longest time.Duration) {
 	now := time.Now()
 	second := func(t time.Time) float64 { return t.Sub(c.startedAt).Seconds() }
 	for _, x := range cancellations {
@@ -99,6 +105,7 @@
 			if b.applies {
 				judged++
 			}
+			longest = max(longest, b.wentOn)
 			if isReported {
 				continue
 			}
@@ -118,5 +125,5 @@
 			}
 		}
 	}
-	return judged
+	return judged, longest
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,8 @@
 	Starts int
 	// BoundRuns is the number of runs of cancelled jobs to which the bound of cancellations applied.
 	BoundRuns int
+	// LongestBoundRun is how long one of them went on at most.
+	LongestBoundRun time.Duration
 	// Owners counts the changes of the owner.
 	Owners int
 	// Recovery is the time from the last fault until each accepted job had ended.
@@ -36,8 +38,8 @@
 
 // Print writes the result as a line, and a line for each broken rule.
 func (r Result) Print(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d bound runs %d recovery %.1f s broken rules %d\n",
-		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.BoundRuns, r.Recovery.Seconds(), len(r.Violations))
+	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d bound runs %d longest %.3f s recovery %.1f s broken rules %d\n",
+		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.BoundRuns, r.LongestBoundRun.Seconds(), r.Recovery.Seconds(), len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "  ", v)
 	}
@@ -93,14 +95,15 @@
 	}
 	close(stop)
 	watchers.Wait()
-	boundRuns := 0
+	var boundRuns int
+	var longest time.Duration
 	if o.ChecksCancelBound {
-		boundRuns = c.judgeCancellations(cs.cancellations)
+		boundRuns, longest = c.judgeCancellations(cs.cancellations)
 	}
 	return Result{
 		Seed: s.Seed, Violations: c.allViolations(), Submitted: cs.submitted.Load(), Accepted: cs.accepted.Load(),
 		Rejected: cs.rejected.Load(), Unknown: cs.unknown.Load(), Completed: cs.completed.Load(), Failed: cs.failed.Load(),
-		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, BoundRuns: boundRuns, Recovery: recovery,
+		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, BoundRuns: boundRuns, LongestBoundRun: longest, Recovery: recovery,
 	}, nil
 }
 
