--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -49,7 +49,7 @@
 // what its callers ask for.
 func newVMBesideFollower(t *testing.T, store cell.Store, follower *Node) *Node {
 	t.Helper()
-	server := httptest.NewServer(follower.rpcHandler())
+	server := httptest.NewServer(cellpb.NewCellServer(&rpcServer{node: follower}))
 	t.Cleanup(server.Close)
 	n := New(Settings{Name: "small", PeerAddr: "small:1", CPUCores: 0.1}, Ports{Store: store}, io.Discard)
 	n.peerClients["follower:1"] = cellpb.NewCellProtobufClient(server.URL, server.Client())
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/twitchtv/twirp"
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
@@ -231,14 +229,10 @@
 	timeout := stateQueryTimeout
 	if coversAll {
 		timeout += commitLatencyFactor * n.storeRouter.lastLatency()
-		var err error
-		if ctx, err = twirp.WithHTTPRequestHeaders(ctx, http.Header{readUnreadHeader: {"1"}}); err != nil {
-			return jobAnswer{}, eris.Wrap(err, "set the header of a state query")
-		}
 	}
 	for _, p := range peers {
 		go func() {
-			resp, err := queryState(ctx, p, id, timeout)
+			resp, err := queryState(ctx, p, &cellpb.StateRequest{Job: string(id), ReadUnread: coversAll}, timeout)
 			if err != nil {
 				n.log.Debug("VM did not answer job state query", "id", string(id), "error", err.Error())
 			}
@@ -265,17 +259,17 @@
 
 // queryState asks one VM for the state of a job. queryOwner and queryFollowers call it
 // during a caller's request.
-func queryState(ctx context.Context, p cellpb.Cell, id cell.JobID, timeout time.Duration) (*cellpb.StateResponse, error) {
+func queryState(ctx context.Context, p cellpb.Cell, req *cellpb.StateRequest, timeout time.Duration) (*cellpb.StateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return p.State(ctx, &cellpb.StateRequest{Job: string(id)})
+	return p.State(ctx, req)
 }
 
 // queryOwner asks the owner for the state of a job. It returns false if the
 // owner does not answer or returns no state. findJob calls it on a VM other than
 // the owner.
 func (n *Node) queryOwner(ctx context.Context, owner cellpb.Cell, id cell.JobID) (cell.State, bool) {
-	resp, err := queryState(ctx, owner, id, stateQueryTimeout)
+	resp, err := queryState(ctx, owner, &cellpb.StateRequest{Job: string(id)}, stateQueryTimeout)
 	if err != nil {
 		n.countRequest("state", "owner_failed")
 		n.log.Debug("owner does not answer", "id", string(id), "error", err.Error())
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -326,7 +326,7 @@
 	if err != nil {
 		return &structs.Error{Step: "listen for peers", Peer: n.settings.PeerAddr, Cause: err}
 	}
-	handler := n.ContainPanics("rpc", n.rpcHandler())
+	handler := n.ContainPanics("rpc", cellpb.NewCellServer(&rpcServer{node: n}))
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: peerDialTimeout}
 	go func() {
 		if err := server.Serve(peerListener); err != nil && !eris.Is(err, http.ErrServerClosed) {
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -32,24 +31,6 @@
 
 var _ cellpb.Cell = (*rpcServer)(nil)
 
-// readUnreadHeader is the HTTP header of a State RPC that asks the called VM to read what
-// it has not read of topic jobs before it reports a job as absent. Previous builds ignore it.
-const readUnreadHeader = "Gypsumwinch-Read-Unread"
-
-// mustReadUnreadKey is the context key for a State RPC with readUnreadHeader.
-type mustReadUnreadKey struct{}
-
-// rpcHandler returns the handler of the RPCs between entry VMs. Run serves it.
-func (n *Node) rpcHandler() http.Handler {
-	server := cellpb.NewCellServer(&rpcServer{node: n})
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(readUnreadHeader) != "" {
-			r = r.WithContext(context.WithValue(r.Context(), mustReadUnreadKey{}, true))
-		}
-		server.ServeHTTP(w, r)
-	})
-}
-
 // State implements cellpb.Cell. It returns a state only if this VM knows all
 // jobs, and reports an unknown job as absent only if that is proven. Another VM
 // calls it when a caller asks that VM for a job's state or cancels the job. A
@@ -65,7 +46,7 @@
 		resp.State = string(state)
 		return resp, nil
 	}
-	if mustRead, _ := ctx.Value(mustReadUnreadKey{}).(bool); mustRead {
+	if req.ReadUnread {
 		found, err := s.node.jobsReader.hasUnreadKey(ctx, cell.JobKey(cell.JobID(req.Job)))
 		if err != nil {
 			resp.Follows = false
