--- a/internal/cell/owner/malformed_test.go
+++ b/internal/cell/owner/malformed_test.go
@@ -93,3 +93,40 @@
 		t.Fatal("no record was loaded")
 	}
 }
+
+// TestOddWorkersDoNotEndTheOwner guards the owner against entries of other writers that pass
+// the decoder: odd names, capacities and start times, and changes of all of them under the id
+// of a worker with runs (issue 28).
+func TestOddWorkersDoNotEndTheOwner(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	f := newFixture(t, 1000)
+	gang := newStep(2, 400)
+	gang.Gang = true
+	f.apply(JobSubmitted{Job: newJob("j", newStep(2, 300), gang)})
+	ids := []string{"w", "z", "y", "~"}
+	texts := []string{"s", "other", "w:1", "10.0.0.1:80", "a"}
+	text := func() string { return texts[rng.IntN(len(texts))] }
+	capacity := func() int64 { return []int64{1, 500, 1000, 1 << 40}[rng.IntN(4)] }
+	for i := range 3000 {
+		ev := WorkersListed{}
+		for range rng.IntN(3) {
+			ev.Workers = append(ev.Workers, cell.Worker{
+				ID: ids[rng.IntN(len(ids))], Service: text(), Addr: text(), DataCentre: text(), Born: max(0, extreme(rng)), Labels: texts[:rng.IntN(len(texts))],
+				Capacity: structs.Resources{MilliCPU: capacity(), MemoryMB: capacity(), Accelerators: capacity()}, Draining: rng.IntN(3) == 0, Remaining: time.Duration(max(0, extreme(rng))),
+			})
+		}
+		for range rng.IntN(2) {
+			ev.Removed = append(ev.Removed, ids[rng.IntN(len(ids))])
+		}
+		f.apply(ev)
+		id := ids[rng.IntN(len(ids))]
+		f.apply(RenewResult{Worker: id, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: max(0, extreme(rng))}})
+		if i%50 == 0 {
+			f.apply(JobSubmitted{Job: newJob(cell.JobID(fmt.Sprintf("%016x", i)), newStep(2, 300))})
+		}
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+		f.m.WorkerReach("a")
+		f.clearActions()
+	}
+}
