Take no addresses from hello messages that cannot be those of VMs

Cause: the address of the sender and the addresses of peers, proxies and the owner in an answer were taken as they are, passed on to all VMs, called in turn while there is no owner, and named as proxies. Only VMs of the cell write hello messages, so that no other writer can cause this; a wrong address was never dropped again.

Change: such addresses must be those of a peer (cell.ValidateAddr); the message itself is answered. No process ended before. TestHellosOfALargeCellAreSpread used host names for its VMs, now IP numbers.

Measured: TestOddPeersAreNotCalled failed before (9 odd addresses were known peers).

--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
 )
@@ -131,13 +132,14 @@
 	}
 }
 
-// addPeer adds a VM to the known VMs and reports whether it is new. It runs
+// addPeer adds a VM to the known VMs and reports whether it is new. An address that cannot be
+// that of a VM is not added. It runs
 // for the sender of each hello message received, and in the hello loop for the
 // VMs that an answer lists.
 func (n *Node) addPeer(addr string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if addr == n.settings.PeerAddr || slices.Contains(n.peerAddrs, addr) || len(n.peerAddrs) >= maxKnownPeers {
+	if addr == n.settings.PeerAddr || slices.Contains(n.peerAddrs, addr) || len(n.peerAddrs) >= maxKnownPeers || cell.ValidateAddr(addr) != nil {
 		return false
 	}
 	n.peerAddrs = append(n.peerAddrs, addr)
@@ -240,10 +242,11 @@
 	for _, addr := range resp.Peers {
 		n.addPeer(addr)
 	}
-	if len(resp.Relays) > 0 {
-		n.advertisedProxies.Store(&resp.Relays)
+	proxies := slices.DeleteFunc(resp.Relays, func(addr string) bool { return cell.ValidateAddr(addr) != nil })
+	if len(proxies) > 0 {
+		n.advertisedProxies.Store(&proxies)
 	}
-	if o := resp.Owner; o != nil {
+	if o := resp.Owner; o != nil && cell.ValidateAddr(o.Addr) == nil {
 		n.setOwnerFromPeer(election.OwnerRecord{Term: o.Term, Node: o.Node, Addr: o.Addr, Instance: o.Instance, Resigned: o.Resigned})
 	}
 	if config := n.config.Load(); config != nil && resp.ConfigVersion > config.Version {
--- a/internal/cell/node/hello_test.go
+++ b/internal/cell/node/hello_test.go
@@ -27,7 +27,7 @@
 			is := is.New(t)
 			n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: c.cores}, Ports{Store: &cellstore.Store{}}, io.Discard)
 			for i := range c.vms {
-				n.addPeer(fmt.Sprintf("vm%d:2", i))
+				n.addPeer(fmt.Sprintf("10.0.%d.%d:2", i/256, i%256))
 			}
 			is.Equal(n.currentHelloInterval(), c.want)
 			is.True(n.ownerReplyTTL() > 2*c.want)
--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/owner"
 	"gypsumwinch/standin/cellstore"
 )
@@ -187,3 +188,35 @@
 	is.True(e.tracker.reader.readToEnd(ctx) != nil)
 	is.Equal(broken.loads, 2)
 }
+
+// TestOddPeersAreNotCalled guards against addresses in hello messages that are not those of
+// VMs: they would be passed on to all VMs, called in turn while there is no owner, and named as
+// proxies. The message itself is answered.
+func TestOddPeersAreNotCalled(t *testing.T) {
+	is := is.New(t)
+	n := New(Settings{Name: "vm", PeerAddr: "10.0.0.1:7720", CPUCores: 1}, Ports{Store: &cellstore.Store{}}, io.Discard)
+	n.holdsTerm.Store(true)
+	for _, addr := range []string{"", ":1", "vm", "vm:1", "10.0.0.2", "10.0.0.2:0", "10.0.0.2:99999", "10.0.0.2:1@x:2", "a b:1"} {
+		resp, err := (&rpcServer{n}).Hello(context.Background(), &cellpb.HelloRequest{Name: "x", Addr: addr, StoreAnswers: true, Follows: true})
+		is.NoErr(err)
+		is.Equal(resp.Instance, n.instance)
+	}
+	is.Equal(len(n.knownPeers()), 0)
+	is.Equal(len(n.storeProxyAddrs("")), 0)
+	reply := &cellpb.HelloResponse{Peers: []string{"", "vm:1", "10.0.0.2:7720"}, Relays: []string{"vm:1"}, Owner: &cellpb.Owner{Term: 9, Addr: "vm:1", Instance: "i"}}
+	_, err := n.sendHello(context.Background(), cannedPeer{reply: reply})
+	is.NoErr(err)
+	is.Equal(n.knownPeers(), []string{"10.0.0.2:7720"})
+	is.True(n.ownerRecord.Load() == nil)
+	is.True(n.advertisedProxies.Load() == nil)
+}
+
+// cannedPeer is a VM that gives the same answer to each hello message.
+type cannedPeer struct {
+	cellpb.Cell
+	reply *cellpb.HelloResponse
+}
+
+func (p cannedPeer) Hello(context.Context, *cellpb.HelloRequest) (*cellpb.HelloResponse, error) {
+	return p.reply, nil
+}
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -136,7 +136,10 @@
 	if req.WantPending && n.knowsAllJobs() {
 		resp.Pending, resp.HasPending = n.replica.pendingCounts(), true
 	}
-	n.updateProxyCandidate(req.Addr, req.StoreAnswers, req.Follows)
+	isPeer := cell.ValidateAddr(req.Addr) == nil
+	if isPeer {
+		n.updateProxyCandidate(req.Addr, req.StoreAnswers, req.Follows)
+	}
 	if n.holdsTerm.Load() {
 		resp.Relays = n.storeProxyAddrs(req.Addr)
 		// Reported also while the state is loaded: another claim would only restart
@@ -149,7 +152,7 @@
 	// Read after the offset: a later offset with an earlier term would skip records.
 	resp.Owner = n.ownerToProto()
 	c := n.activeLoop()
-	if c == nil {
+	if c == nil || !isPeer {
 		return resp, nil
 	}
 	hello := helloMessage{
