Call an unlisted worker until its lease may have ended

A worker whose entry disappears and that has no known runs was forgotten at once. If it lives and carries out a start late, nobody called it any more: the run went on until the lease ended, up to 6 s after the last renewal.

The owner now calls the worker until its lease has certainly ended or three renewals have failed, and does not extend the lease, so that a worker that has left costs three calls.

TestUnknownRunOnAnUnlistedWorkerIsStopped failed before; TestUnlistedWorkerIsForgotten guards the end of the calls.

--- a/internal/cell/owner/renewals.go
+++ b/internal/cell/owner/renewals.go
@@ -14,7 +14,7 @@
 	if w.isRenewalInFlight || m.now.Mono < w.nextRenewalAt || w.info.Addr == "" {
 		return
 	}
-	if !w.isListed && len(w.runs) == 0 {
+	if !m.mayHaveRuns(w) {
 		return
 	}
 	if !w.hasAnswered && m.firstContacts >= maxFirstContacts {
@@ -128,13 +128,14 @@
 
 // extendLease returns the lease end to send with a renewal or a start
 // request. It does not extend the lease of a worker that does not answer, that
-// a recorded LeaseStatement may name, or if the store has not accepted a heartbeat
-// of this owner for AuthorityTimeout, so that the lease expires at a known time.
+// a recorded LeaseStatement may name or that is unlisted and has no known runs, or if the
+// store has not accepted a heartbeat of this owner for AuthorityTimeout, so that the lease
+// expires at a known time.
 func (m *Machine) extendLease(w *worker) time.Duration {
 	if !w.hasAnswered {
 		return 0
 	}
-	if w.failedRenewals > 0 || w.isLeaseStated || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
+	if w.failedRenewals > 0 || !w.isListed && len(w.runs) == 0 || w.isLeaseStated || m.now.Mono-m.storeReachedAt > AuthorityTimeout {
 		return w.leaseEnd
 	}
 	w.leaseEnd = max(w.leaseEnd, w.estimatedClock(m.now.Mono)+m.opts.LeaseLimit)
--- a/internal/cell/owner/unlisted_test.go
+++ b/internal/cell/owner/unlisted_test.go
@@ -44,3 +44,40 @@
 	is.Equal(len(stops), 1)
 	is.Equal(stops[0].Stop.Addr, "w:1")
 }
+
+// TestUnknownRunOnAnUnlistedWorkerIsStopped guards against a run that goes on until its
+// lease ends: a worker whose entry had disappeared was forgotten at once if it had no known
+// run, and was not called again.
+func TestUnknownRunOnAnUnlistedWorkerIsStopped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(WorkersListed{Removed: []string{"w"}})
+	f.apply(Tick{})
+	f.answerRenewal(cell.ActiveRun{Task: "j.0.0.0", Run: 1})
+	is.Equal(len(actionsOf[SendStop](f)), 1)
+}
+
+// TestUnlistedWorkerIsForgotten guards against workers that are called for ever after they
+// have left.
+func TestUnlistedWorkerIsForgotten(t *testing.T) {
+	t.Run("no answer", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1000)
+		f.apply(WorkersListed{Removed: []string{"w"}})
+		for range silentRenewals {
+			f.apply(RenewResult{Worker: "w", SentAt: f.now, Err: errNoAnswer})
+		}
+		f.apply(Tick{})
+		is.Equal(len(f.m.workers), 0)
+	})
+	t.Run("lease has expired", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1000)
+		f.apply(WorkersListed{Removed: []string{"w"}})
+		for end := f.now + simLeaseLimit + time.Second; f.now < end; f.now += 100 * time.Millisecond {
+			f.answerRenewal()
+			f.apply(Tick{})
+		}
+		is.Equal(len(f.m.workers), 0)
+	})
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -210,10 +210,17 @@
 	}
 }
 
+// mayHaveRuns reports whether a worker may run tasks. One that the store no longer lists and
+// that has no known runs may still carry out a start request late: it is called for as long as
+// it answers and its lease may last, so that such a run is stopped.
+func (m *Machine) mayHaveRuns(w *worker) bool {
+	return w.isListed || len(w.runs) > 0 || w.hasAnswered && w.failedRenewals < silentRenewals && !m.isLeaseExpired(w)
+}
+
 // removeWorkerIfUnused removes a worker that is not listed and has no runs.
 // It runs on each Tick and when the store no longer lists the worker.
 func (m *Machine) removeWorkerIfUnused(w *worker) {
-	if w.isListed || len(w.runs) > 0 || m.workers[w.info.ID] != w {
+	if m.mayHaveRuns(w) || m.workers[w.info.ID] != w {
 		return
 	}
 	if w.isLeaseStated {
