Simulate unknown runs and gang members that go on, while jobs are cancelled

Two ways to stop a run were not exercised by the cases with cancellations: no play had an unknown run, and all members of a gang ended together. Now a run of a cancelled job that no owner knows starts every 0.7 s, and a fifth of the members of a gang goes on for 10 s after the others. Two kinds of unknown runs end with their lease and are allowed: on a worker that neither an entry nor a record named when the owner took over, and, for ContactMs after a disruption, on one that was unlisted and did not answer.

--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -122,7 +122,7 @@
 }
 
 type simStats struct {
-	starts, done, failed, leaseExpired, stopped, takeovers, completed int
+	starts, done, failed, leaseExpired, stopped, takeovers, completed, strays int
 }
 
 type simJob struct {
@@ -182,6 +182,9 @@
 	isPartitioned bool
 	// isUnlisted is true while the store has no entry of the worker.
 	isUnlisted bool
+	// isUnnamed is true if the entry was missing when the present owner took over and no
+	// record named the worker.
+	isUnnamed bool
 	// side is the only owner that reaches the worker, if any.
 	side               *simOwner
 	clockRate          float64
@@ -258,6 +261,9 @@
 	}
 	s.term++
 	s.stats.takeovers++
+	if *simTrace {
+		s.t.Logf("%v owner %d takes over", s.now, s.term)
+	}
 	o := &simOwner{sim: s, term: s.term, replica: newSimReplica()}
 	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
 	s.owner = o
@@ -291,6 +297,9 @@
 			o.apply(JobCancelled{Job: id})
 		}
 	}
+	for _, w := range s.workers {
+		w.isUnnamed = w.isUnlisted && o.machine.workers[w.info.ID] == nil
+	}
 	o.listAll()
 	o.tick()
 	o.pollJobs()
--- a/internal/cell/owner/simcancel_test.go
+++ b/internal/cell/owner/simcancel_test.go
@@ -46,6 +46,11 @@
 	handOverInterval time.Duration
 	unlistInterval   time.Duration
 	drainInterval    time.Duration
+	// lingeringMemberFraction is the fraction of members of a gang that do not end with the
+	// others.
+	lingeringMemberFraction float64
+	// strayInterval is the mean time between two runs that no owner knows.
+	strayInterval time.Duration
 }
 
 // simCalm keeps the ends of the last disruptions.
@@ -216,6 +221,7 @@
 		s.owner.apply(WorkersListed{Removed: []string{w.info.ID}})
 		s.after(time.Second+time.Duration(s.rand.IntN(9000))*time.Millisecond, w.list)
 	})
+	s.repeatAlways(c.strayInterval, end, s.startStray)
 	s.repeatAlways(c.drainInterval, end, func() {
 		w := s.randomWorker()
 		w.info.Draining = true
@@ -227,10 +233,70 @@
 	})
 }
 
+// maxSimLinger is how long a member of a gang goes on after the others.
+const maxSimLinger = 10 * time.Second
+
+// lingers reports whether a member of a gang goes on although another one has ended. It ends
+// alone, later.
+func (s *sim) lingers(m gangMember) bool {
+	c := s.faults.cancellations
+	if c == nil || s.rand.Float64() >= c.lingeringMemberFraction {
+		return false
+	}
+	s.after(maxSimLinger, func() {
+		if m.worker.runs[m.run.task] == m.run {
+			m.worker.endRun(m.run, cell.OutcomeGangIncomplete)
+		}
+	})
+	return true
+}
+
+// startStray starts a run that no owner knows, of a task that is not running: a worker carries out an
+// order of a VM that has been removed. It takes no capacity. If neither an entry nor a record
+// names the worker, it goes on until the lease ends. No play has shown such a run unless it
+// was started here.
+func (s *sim) startStray() {
+	if len(s.jobRecords) == 0 {
+		return
+	}
+	w, j := s.randomWorker(), s.jobs[s.jobRecords[s.rand.IntN(len(s.jobRecords))].job]
+	id := cell.TaskID{StepID: cell.StepID{Job: j.def.ID}}
+	task := id.String()
+	_, isCancelled := s.cancelledAt[j.def.ID]
+	if !isCancelled || w.clock() >= w.leaseEnd || !w.isUp || w.closedRuns[task] >= strayRun {
+		return
+	}
+	for _, o := range s.workers {
+		if o.runs[task] != nil {
+			return
+		}
+	}
+	run := &simRun{task: task, id: id, run: strayRun, state: "running", startedAt: s.now, isLate: true}
+	w.runs[task] = run
+	s.stats.strays++
+	s.scheduleEnd(w, run, s.faults.runTime)
+}
+
+// countStraysFromNow makes the bound of the runs that no owner knows begin now, since nobody
+// could call the worker before.
+func (w *simWorker) countStraysFromNow() {
+	for _, r := range w.runs {
+		if r.run == strayRun {
+			r.startedAt = w.sim.now
+		}
+	}
+}
+
+// strayRun is the number of the runs that startStray starts.
+const strayRun = 1000
+
 // list writes the entry of a worker that is up, which the owner reads at once.
 func (w *simWorker) list() {
 	if w.isUp {
-		w.isUnlisted = false
+		if w.isUnnamed {
+			w.countStraysFromNow()
+		}
+		w.isUnlisted, w.isUnnamed = false, false
 		w.sim.owner.apply(WorkersListed{Workers: []cell.Worker{w.info}})
 	}
 }
@@ -256,10 +322,16 @@
 	}
 	for _, r := range w.runs {
 		at, ok := s.cancelledAt[r.id.Job]
-		if !ok {
+		if !ok || r.run == strayRun && w.isUnnamed {
 			continue
 		}
-		bound := max(at, s.calm.disruptedUntil) + simCancelTime
+		calmSince := s.calm.disruptedUntil
+		if r.run == strayRun && calmSince > 0 {
+			// The owner may have given the worker up: it was unlisted and did not answer. The
+			// lease ends 6 s after the disruption at the latest.
+			calmSince += simContactTime
+		}
+		bound := max(at, calmSince) + simCancelTime
 		if r.isLate {
 			bound = max(bound, r.startedAt+simContactTime)
 		}
@@ -294,7 +366,7 @@
 
 func cancellationCases() []cancellationCase {
 	base := simCancellations{promptFraction: 0.65, trafficTime: 40 * time.Second, faultTime: 3 * time.Second, calmTime: 8 * time.Second,
-		shortRunFraction: 0.5, refusedStartFraction: 0.05}
+		shortRunFraction: 0.5, refusedStartFraction: 0.05, lingeringMemberFraction: 0.2, strayInterval: 700 * time.Millisecond}
 	with := func(change func(*simCancellations)) *simCancellations {
 		c := base
 		change(&c)
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -120,6 +120,9 @@
 			return
 		}
 		for i, m := range present {
+			if i > 0 && s.lingers(m) {
+				continue
+			}
 			if outcome == cell.OutcomeFailed && i > 0 {
 				m.worker.endRun(m.run, cell.OutcomeGangBroken)
 				continue
@@ -204,11 +207,13 @@
 	case cell.OutcomeStopped:
 		s.stats.stopped++
 	}
-	if !r.isGang || outcome == cell.OutcomeDone || outcome == cell.OutcomeGangBroken {
+	if !r.isGang || outcome == cell.OutcomeDone || outcome == cell.OutcomeGangBroken || outcome == cell.OutcomeGangIncomplete {
 		return
 	}
 	for _, m := range s.runningMembers(r.id.StepID, r.run) {
-		m.worker.endRun(m.run, cell.OutcomeGangBroken)
+		if !s.lingers(m) {
+			m.worker.endRun(m.run, cell.OutcomeGangBroken)
+		}
 	}
 }
 
@@ -338,7 +343,7 @@
 		w.isUp = true
 		w.startedAt = s.now
 		w.info.Born++
-		w.isUnlisted = false
+		w.isUnlisted, w.isUnnamed = false, false
 		s.after(listDelay, func() { s.owner.apply(WorkersListed{Workers: []cell.Worker{w.info}}) })
 	})
 }
