Cancel jobs that do not end by themselves in the soak of the store

The soak cancelled a tenth of its jobs, whose tasks take 10 to 70 ms, ignored the answers and did not look at the runs. A sixth of the jobs now have tasks of an hour, and are cancelled within 2.5 s of their acceptance at random nodes, until one acknowledges it: also one that has restarted, has not loaded its topics, is no follower or was the owner. A denial of an accepted job fails the test at once; each of these jobs has to end as cancelled at every node once faults are over, and no worker may have a run then. No bound depends on the speed of the machine.

--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -290,7 +290,11 @@
 	if f.completedTasks[name] {
 		f.violations = append(f.violations, fmt.Sprintf("%s run %d starts after the task completed", name, s.Run))
 	}
-	w.runs[name] = soakRun{s.Run, time.Now().Add(time.Duration(10+f.rng.IntN(60)) * time.Millisecond)}
+	runTime := time.Duration(10+f.rng.IntN(60)) * time.Millisecond
+	if s.Spec == soakLongSpec {
+		runTime = time.Hour
+	}
+	w.runs[name] = soakRun{s.Run, time.Now().Add(runTime)}
 	return w.clock(), cell.RefusedNone, nil
 }
 
@@ -493,6 +497,17 @@
 	}
 }
 
+// soakLongSpec is the specification of tasks that do not end unless they are stopped.
+const soakLongSpec = "long"
+
+// newLongSoakJob returns a job that ends only with its cancellation.
+func newLongSoakJob(id cell.JobID) *cell.Job {
+	return &cell.Job{
+		ID: id, Queue: cell.Queue{Name: soakQueueName, Service: "s", MaxAttempts: 9, CriticalPathFactor: 2, Target: time.Second}, Spec: soakLongSpec,
+		Steps: []cell.Step{{Count: 2, Need: structs.Resources{MilliCPU: 200}}},
+	}
+}
+
 // submit submits a job until it is accepted, and reports whether it was, or
 // whether every attempt was refused.
 func (c *soakCell) submit(job *cell.Job) (accepted, refused bool) {
--- a/internal/cell/node/storesoak_test.go
+++ b/internal/cell/node/storesoak_test.go
@@ -33,6 +33,8 @@
 	acceptedAt time.Time
 	// isCancelled is true once a cancellation was sent.
 	isCancelled bool
+	// isLong is true for a job that ends only with its cancellation.
+	isLong bool
 }
 
 // storeSoak is a soak under faults of the store.
@@ -228,7 +230,10 @@
 	for k := 0; time.Now().Before(end); k++ {
 		id := cell.JobID(fmt.Sprintf("%08x%08x", caller, k))
 		job := newSoakJob(id)
-		if s.rng.IntN(8) == 0 {
+		isLong := s.rng.IntN(6) == 0
+		if isLong {
+			job = newLongSoakJob(id)
+		} else if s.rng.IntN(8) == 0 {
 			job.Repeat, job.FirstDueAt, job.Interval = 3, time.Now(), 400*time.Millisecond
 		}
 		accepted, refused := s.submit(job)
@@ -238,7 +243,7 @@
 			s.jobsMu.Unlock()
 		}
 		if accepted {
-			job := acceptedJob{id: id, acceptedAt: time.Now(), isCancelled: s.rng.IntN(10) == 0}
+			job := acceptedJob{id: id, acceptedAt: time.Now(), isCancelled: isLong || s.rng.IntN(10) == 0, isLong: isLong}
 			s.jobsMu.Lock()
 			s.jobs = append(s.jobs, job)
 			s.jobsMu.Unlock()
@@ -247,9 +252,15 @@
 			default:
 			}
 			if s.rng.IntN(4) == 0 {
-				s.callers.Go(func() { s.repeat(newSoakJob(id)) })
+				again := newSoakJob(id)
+				if isLong {
+					again = newLongSoakJob(id)
+				}
+				s.callers.Go(func() { s.repeat(again) })
 			}
-			if job.isCancelled {
+			if isLong {
+				s.callers.Go(func() { s.cancelLater(job) })
+			} else if job.isCancelled {
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 				_, _ = s.node(s.rng.IntN(soakNodeCount)).Cancel(ctx, id)
 				cancel()
@@ -267,6 +278,28 @@
 	_ = s.node(s.rng.IntN(soakNodeCount)).Submit(ctx, job)
 }
 
+// cancelLater cancels an accepted job within 2.5 s at random nodes, until one of them
+// acknowledges it. No node may deny it: the caller would take the job for one that does not
+// exist.
+func (s *storeSoak) cancelLater(job acceptedJob) {
+	time.Sleep(time.Duration(s.rng.IntN(2500)) * time.Millisecond)
+	for deadline := time.Now().Add(soakCompletionTimeout); time.Now().Before(deadline); {
+		i := s.rng.IntN(soakNodeCount)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		known, err := s.node(i).Cancel(ctx, job.id)
+		cancel()
+		if err == nil && known {
+			return
+		}
+		if err == nil {
+			s.fleet.addViolation(fmt.Sprintf("the cancellation of job %s, accepted %s before, is denied at node %d", job.id, time.Since(job.acceptedAt), i))
+			return
+		}
+		time.Sleep(time.Duration(50+s.rng.IntN(200)) * time.Millisecond)
+	}
+	s.fleet.addViolation(fmt.Sprintf("the cancellation of job %s was not acknowledged", job.id))
+}
+
 // checkStates asks random nodes for random accepted jobs until ctx ends.
 func (s *storeSoak) checkStates(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -324,6 +357,7 @@
 		deadline = begin.Add(*soakAnswerTimeout)
 	}
 	defer func() { t.Logf("seed %d: all ends were reported after %v", *soakSeed, time.Since(begin)) }()
+	defer s.checkRunsAreGone(t, deadline)
 	for _, job := range s.jobs {
 		for i := range soakNodeCount {
 			for {
@@ -333,7 +367,7 @@
 				if err == nil && !known {
 					t.Fatalf("job %s is unknown at node %d", job.id, i)
 				}
-				if err == nil && (state == cell.StateCompleted || state == cell.StateCancelled && job.isCancelled) {
+				if err == nil && (state == cell.StateCompleted && !job.isLong || state == cell.StateCancelled && job.isCancelled) {
 					break
 				}
 				if time.Now().After(deadline) {
@@ -345,6 +379,32 @@
 	}
 }
 
+// checkRunsAreGone waits until no worker has a run: all jobs have ended, and those that were
+// cancelled do not end by themselves.
+func (s *storeSoak) checkRunsAreGone(t *testing.T, deadline time.Time) {
+	t.Helper()
+	for left := s.firstRun(); left != ""; left = s.firstRun() {
+		if time.Now().After(deadline) {
+			t.Errorf("%s runs on although all jobs have ended", left)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// firstRun returns a run that has not ended, or "".
+func (s *storeSoak) firstRun() string {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for id, w := range s.fleet.workers {
+		s.fleet.finishDueRuns(w)
+		for task, r := range w.runs {
+			return fmt.Sprintf("task %s run %d on %s", task, r.number, id)
+		}
+	}
+	return ""
+}
+
 // checkRefused fails the test for each task that completed although every submission of its
 // job was refused.
 func (s *storeSoak) checkRefused(t *testing.T) {
@@ -358,10 +418,12 @@
 	}
 }
 
-// TestSoakOfStoreFaults guards jobs that callers were told are accepted, while the store
+// TestSoakOfStoreFaults guards jobs that callers were told are accepted, and cancellations that
+// were acknowledged by any node, while the store
 // is slow, loses answers, executes appends late, forgets its history or does not serve
 // some nodes, nodes do not reach each other, and the owner changes or all processes end at
-// once, at last right after an acknowledgement: each job is known and ends, once.
+// once, at last right after an acknowledgement: each job is known and ends, once, a cancelled one
+// with its runs.
 func TestSoakOfStoreFaults(t *testing.T) {
 	t.Parallel()
 	smallNodes := 1
