Let the soak write odd entries of workers

Change: a kind of fault writes entries that no worker writes, also under the ids of a quarter of the workers and under ids that cannot be sent: unnamed service, fields missing or of another type, port out of range, numbers too large, deep nesting, bytes that are no text. testdata/odd-entries.yaml plays it beside a killed and a stopped owner and a store that drops its history.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -140,6 +141,43 @@
 		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.SetFailsAll(true) })
 		time.Sleep(f.For)
 		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { w.SetFailsAll(false) })
+	case OddEntries:
+		c.writeOddEntries(f)
+	}
+}
+
+// oddEntryInterval is the time between two series of odd entries. A worker writes its own entry
+// every workerHeartbeat.
+const oddEntryInterval = 300 * time.Millisecond
+
+// oddEntries are entries of another writer. The address, where there is one, refuses connections.
+var oddEntries = []string{
+	`{"Service":"unnamed","Address":"127.0.0.1:9","Zone":"dc-0","Version":"v1","Slots":8,"State":"ready","ColdRemainingMs":0,"Capacity":{"Cpu":16000,"MemMb":32000,"Gpu":0},"Labels":["kind","rack"],"Sequence":1,"born":1}`,
+	`{"Service":"soak","Zone":"dc-0","State":"ready","Capacity":{"Cpu":16000,"MemMb":32000}}`,
+	`{"Service":"soak","Address":"127.0.0.1:99999","Zone":"dc-0","Version":"v1","Slots":8,"State":"ready","Capacity":{"Cpu":16000,"MemMb":32000}}`,
+	`{"Service":"soak","Address":"127.0.0.1:9","Zone":"dc-0","Version":"v1","Slots":"8","State":"ready","Capacity":{"Cpu":16000,"MemMb":32000}}`,
+	`{"Service":"soak","Address":"127.0.0.1:9","Zone":"dc-0","Version":"v1","Slots":8,"State":"asleep","Capacity":{"Cpu":16000,"MemMb":32000}}`,
+	`{"Service":"soak","Address":"127.0.0.1:9","Zone":"dc-0","Version":"v1","Slots":8,"State":"ready","Capacity":{"Cpu":16000,"MemMb":32000},"born":9223372036854775807}`,
+	`{"Service":"soak","Address":"127.0.0.1:9","Zone":"dc-0","Version":"v1","Slots":8,"State":"ready","Capacity":{"Cpu":1e300,"MemMb":32000}}`,
+	`{"Service":"soak","Address":"127.0.0.1:9","Zone":"dc-0","State":"ready","Capacity":{"Cpu":16000,"MemMb":32000},"Extra":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + `}`,
+	strings.Repeat(`{"Address":`, 20_000), "null", "\x00\xff",
+}
+
+// writeOddEntries writes the odd entries in turn, under the ids of a quarter of the workers and
+// under ids that no worker has, until the fault ends.
+func (c *cluster) writeOddEntries(f Fault) {
+	write := func(id string, i int) {
+		if err := c.store.WriteEntry(id, []byte(oddEntries[i%len(oddEntries)])); err != nil {
+			c.report("FAULT", "odd entry of %q: %v", id, err)
+		}
+	}
+	end := time.Now().Add(f.For)
+	for i := f.Target; time.Now().Before(end); i++ {
+		c.forEachOfAQuarter(f.Target, func(w *workerSlot) { write(w.ID, i) })
+		for n, id := range []string{"", "odd", "odd\r\nX: y", "\xff"} {
+			write(id, i+n)
+		}
+		time.Sleep(oddEntryInterval)
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -78,6 +78,9 @@
 	LostAnswers Kind = "lost-answers"
 	// FailingWorkers makes a quarter of the workers fail all that they start for For.
 	FailingWorkers Kind = "failing-workers"
+	// OddEntries writes entries that no worker writes, also under the IDs of a quarter of the
+	// workers, every 0.3 s for For. Target: first worker.
+	OddEntries Kind = "odd-entries"
 	// Publish publishes a configuration.
 	Publish Kind = "publish"
 	// PublishSeries publishes ten configurations in quick succession.
@@ -90,7 +93,7 @@
 	StoreRefuses, StoreSilent, StoreSlow, StoreSlow, StoreLosesAnswers, StoreLate, StoreForgets, StoreTurnsAway, StoreTurnsOwnerAway,
 	CutStore, CutStoreAnswers, DelayStore, ResetStore, ResetCallers,
 	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, DelayWorkers, LateOrders, LostAnswers, FailingWorkers,
-	Publish, PublishSeries,
+	OddEntries, Publish, PublishSeries,
 }
 
 // Fault is one fault of a schedule.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,11 +19,7 @@
 func TestRealDaemonKeepsTheRules(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	daemon := filepath.Join(dir, "gypsumwinchd")
-	output, err := exec.Command("go", "build", "-o", daemon, "gypsumwinch/cmd/gypsumwinchd").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build the daemon: %v\n%s", err, output)
-	}
+	daemon := buildDaemon(t, dir)
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
 		s := DrawSchedule(seed, Size{VMs: 4, Workers: 12, Traffic: 15 * time.Second, JobsPerSecond: 4})
 		result, err := Run(s, daemon, filepath.Join(dir, "run"))
@@ -41,3 +37,28 @@
 	w.t.Logf("%s", p)
 	return len(p), nil
 }
+
+// TestOddEntriesBreakNoRule guards the real daemon against entries of other writers under the
+// ids of workers (issue 28): runs of these workers ran twice.
+func TestOddEntriesBreakNoRule(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, err := ReadSchedule(filepath.Join("testdata", "odd-entries.yaml"))
+	is.NoErr(err)
+	result, err := Run(s, buildDaemon(t, dir), filepath.Join(dir, "run"))
+	is.NoErr(err)
+	result.Print(testWriter{t})
+	is.Equal(result.Violations, nil)
+	is.True(result.Completed > 0)
+}
+
+// buildDaemon builds the daemon in a directory and returns its path.
+func buildDaemon(t *testing.T, dir string) string {
+	t.Helper()
+	daemon := filepath.Join(dir, "gypsumwinchd")
+	output, err := exec.Command("go", "build", "-o", daemon, "gypsumwinch/cmd/gypsumwinchd").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, output)
+	}
+	return daemon
+}
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -78,7 +78,12 @@
 	if err != nil {
 		return err
 	}
-	return s.write(workersTopic, e.ID, value)
+	return s.WriteEntry(e.ID, value)
+}
+
+// WriteEntry writes an entry among those of the workers, as any writer may.
+func (s *Server) WriteEntry(id string, value []byte) error {
+	return s.write(workersTopic, id, value)
 }
 
 func (s *Server) write(topic cell.Topic, key string, value []byte) error {
