Skip odd entries of the list of VMs

Cause: one entry of another type or with a number too large had the whole list refused at each read, so that the last list stayed in use and the list was no longer followed. Entries without id, of an unknown kind or state, with a negative capacity or with an address that cannot be called were taken for VMs.

Change: the client decodes the entries one by one and skips those that describe no VM (structs.VM.Validate). The check of addresses moves to package structs, which both modes use.

--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -7,9 +7,9 @@
 	"syscall"
 	"time"
 
-	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
+	"gypsumwinch/internal/structs"
 )
 
 // Hello messages between entry VMs. Each VM sends them to the owner, which
@@ -139,7 +139,7 @@
 func (n *Node) addPeer(addr string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if addr == n.settings.PeerAddr || slices.Contains(n.peerAddrs, addr) || len(n.peerAddrs) >= maxKnownPeers || cell.ValidateAddr(addr) != nil {
+	if addr == n.settings.PeerAddr || slices.Contains(n.peerAddrs, addr) || len(n.peerAddrs) >= maxKnownPeers || structs.ValidateAddr(addr) != nil {
 		return false
 	}
 	n.peerAddrs = append(n.peerAddrs, addr)
@@ -242,11 +242,11 @@
 	for _, addr := range resp.Peers {
 		n.addPeer(addr)
 	}
-	proxies := slices.DeleteFunc(resp.Relays, func(addr string) bool { return cell.ValidateAddr(addr) != nil })
+	proxies := slices.DeleteFunc(resp.Relays, func(addr string) bool { return structs.ValidateAddr(addr) != nil })
 	if len(proxies) > 0 {
 		n.advertisedProxies.Store(&proxies)
 	}
-	if o := resp.Owner; o != nil && cell.ValidateAddr(o.Addr) == nil {
+	if o := resp.Owner; o != nil && structs.ValidateAddr(o.Addr) == nil {
 		n.setOwnerFromPeer(election.OwnerRecord{Term: o.Term, Node: o.Node, Addr: o.Addr, Instance: o.Instance, Resigned: o.Resigned})
 	}
 	if config := n.config.Load(); config != nil && resp.ConfigVersion > config.Version {
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -7,6 +7,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/internal/structs"
 )
 
 const (
@@ -136,7 +137,7 @@
 	if req.WantPending && n.knowsAllJobs() {
 		resp.Pending, resp.HasPending = n.replica.pendingCounts(), true
 	}
-	isPeer := cell.ValidateAddr(req.Addr) == nil
+	isPeer := structs.ValidateAddr(req.Addr) == nil
 	if isPeer {
 		n.updateProxyCandidate(req.Addr, req.StoreAnswers, req.Follows)
 	}
--- a/internal/cell/validate.go
+++ b/internal/cell/validate.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -101,17 +100,3 @@
 	}
 	return nil
 }
-
-// ValidateAddr returns an error if addr is not the address of a peer: an IP number and a port
-// from 1 to 65535. The platform has no host names; a look-up would hold a thread and a call.
-func ValidateAddr(addr string) error {
-	a, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return eris.Wrap(err, "address")
-	}
-	ip := a.Addr()
-	if a.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
-		return eris.Errorf("address %s names no peer", a)
-	}
-	return nil
-}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -45,6 +45,25 @@
 	VMs []structs.VM `json:"vms"`
 }
 
+// UnmarshalJSON implements json.Unmarshaler. It skips entries that describe no VM, since one
+// of them must not keep the others from being read.
+func (a *ListAnswer) UnmarshalJSON(data []byte) error {
+	var answer struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return err
+	}
+	a.VMs = make([]structs.VM, 0, len(answer.VMs))
+	for _, raw := range answer.VMs {
+		var vm structs.VM
+		if json.Unmarshal(raw, &vm) == nil && vm.Validate() == nil {
+			a.VMs = append(a.VMs, vm)
+		}
+	}
+	return nil
+}
+
 // HTTPOptions configures HTTPLog and HTTPVMList.
 type HTTPOptions struct {
 	// Name identifies the calling VM.
--- a/internal/structs/vm.go
+++ b/internal/structs/vm.go
@@ -1,5 +1,7 @@
 package structs
 
+import "github.com/rotisserie/eris"
+
 // VMKind is the role of a VM.
 type VMKind string
 
@@ -37,3 +39,30 @@
 	Slots       int `json:"slots,omitempty"`
 	Connections int `json:"connections,omitempty"`
 }
+
+// maxVMAmount bounds the amounts of a listed VM, so that sums of them do not overflow.
+const maxVMAmount = int64(1) << 40
+
+// Validate returns an error that names the first value of a listed VM that cannot be used. A
+// client of the list calls it for each entry.
+func (vm *VM) Validate() error {
+	if vm.ID == "" || vm.DataCentre == "" {
+		return eris.Errorf("VM %q has no id or no data centre", vm.ID)
+	}
+	if vm.Kind != VMEntry && vm.Kind != VMWorker && vm.Kind != VMServer {
+		return eris.Errorf("VM %q has unknown kind %q", vm.ID, vm.Kind)
+	}
+	if vm.State != VMLive && vm.State != VMLeaving {
+		return eris.Errorf("VM %q has unknown state %q", vm.ID, vm.State)
+	}
+	if err := ValidateAddr(vm.Addr); err != nil {
+		return eris.Wrapf(err, "VM %q", vm.ID)
+	}
+	c := vm.Capacity
+	for _, amount := range []int64{c.MilliCPU, c.MemoryMB, c.Accelerators, int64(vm.Slots), int64(vm.Connections)} {
+		if amount < 0 || amount > maxVMAmount {
+			return eris.Errorf("VM %q has an amount of %d", vm.ID, amount)
+		}
+	}
+	return nil
+}
