--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // listen returns a listener and a proxy in front of it that reports cut requests.
@@ -49,13 +50,29 @@
 	<-cuts
 }
 
+// awaitUnread waits until a connection has received a number of bytes that are not read.
+func awaitUnread(t *testing.T, c net.Conn, count int) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for received := 0; received < count; time.Sleep(time.Millisecond) {
+		err := raw.Control(func(fd uintptr) { received, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+		if err != nil {
+			t.Error(err)
+			return
+		}
+	}
+}
+
 // TestRequestThatWasNotReadIsNotCut guards against a false report of a request that arrives after the process has closed its connection.
 func TestRequestThatWasNotReadIsNotCut(t *testing.T) {
 	is := is.New(t)
 	listener, p, cuts := listen(t)
 	go func() {
 		c, _ := listener.Accept()
-		time.Sleep(20 * time.Millisecond) // the bytes arrive and are not read
+		awaitUnread(t, c, len("request"))
 		_ = c.Close()
 	}()
 	c := dial(t, p)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -91,6 +91,9 @@
 	// OddEntries replaces the entries of a quarter of the workers for For by entries that
 	// name no worker. Target: first worker and kind of entry.
 	OddEntries Kind = "odd-entries"
+	// ForeignEntries writes entries that no worker writes, also under the IDs of a quarter of the
+	// workers, every 0.3 s for For. Target: first worker.
+	ForeignEntries Kind = "foreign-entries"
 	// Publish publishes a configuration.
 	Publish Kind = "publish"
 	// PublishSeries publishes ten configurations in quick succession.
@@ -103,7 +106,7 @@
 	StoreRefuses, StoreSilent, StoreSlow, StoreSlow, StoreLosesAnswers, StoreLate, StoreForgets, StoreTurnsAway, StoreTurnsOwnerAway,
 	CutStore, CutStoreAnswers, DelayStore, ResetStore, ResetCallers,
 	RestartWorker, RestartWorkers, CutWorkers, CutWorkerAnswers, DelayWorkers, LateOrders, LostAnswers, FailingWorkers,
-	RestartTogether, RemoveOwner, RestartBehindCut, ExpireEntries, OddEntries,
+	RestartTogether, RemoveOwner, RestartBehindCut, ExpireEntries, OddEntries, ForeignEntries,
 	Publish, PublishSeries,
 }
 
