--- a/internal/soak/cancelbound.go
+++ b/internal/soak/cancelbound.go
@@ -1,8 +1,14 @@
 package soak
 
 import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"gypsumwinch/standin/fleet"
 )
 
@@ -27,7 +33,10 @@
 }
 
 // span is the time of one fault.
-type span struct{ begin, end time.Time }
+type span struct {
+	begin, end time.Time
+	kind       Kind
+}
 
 // isCalm reports whether no fault was in force from contactBound before a time until another.
 func isCalm(faults []span, from, to time.Time) bool {
@@ -127,3 +136,26 @@
 	}
 	return judged, longest
 }
+
+// writeCancellations writes the faults, the acknowledged cancellations and the runs of their jobs
+// to cancellations.txt in the directory of the run, with the seconds of the run.
+func (c *cluster) writeCancellations(cancellations []cancellation) error {
+	second := func(t time.Time) float64 {
+		if t.IsZero() {
+			return -1
+		}
+		return t.Sub(c.startedAt).Seconds()
+	}
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "start %s\n", c.startedAt.UTC().Format(time.RFC3339Nano))
+	for _, f := range c.faultSpans {
+		fmt.Fprintf(&out, "fault %s %.3f %.3f\n", f.kind, second(f.begin), second(f.end))
+	}
+	for _, x := range cancellations {
+		fmt.Fprintf(&out, "cancellation %s accepted %.3f acknowledged %.3f by %s status %d\n", x.job, second(x.acceptedAt), second(x.acknowledgedAt), x.vm, x.status)
+		for _, r := range c.fleet.Runs(x.job) {
+			fmt.Fprintf(&out, "run %s %d on %s from %.3f to %.3f late %t\n", r.Task, r.Number, r.Worker, second(r.StartedAt), second(r.EndedAt), r.IsLate)
+		}
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(c.dir, "cancellations.txt"), out.Bytes(), 0o644), "write cancellations")
+}
--- a/internal/soak/cancelbound_test.go
+++ b/internal/soak/cancelbound_test.go
@@ -48,7 +48,7 @@
 			}
 			var faults []span
 			for _, f := range test.faults {
-				faults = append(faults, span{at(f[0]), at(f[1])})
+				faults = append(faults, span{begin: at(f[0]), end: at(f[1])})
 			}
 			b := judgeRun(r, at(acknowledged), faults, at(now))
 			is.Equal(b.applies, test.applies)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -95,6 +95,9 @@
 	}
 	close(stop)
 	watchers.Wait()
+	if err := c.writeCancellations(cs.cancellations); err != nil {
+		return Result{}, err
+	}
 	var boundRuns int
 	var longest time.Duration
 	if o.ChecksCancelBound {
@@ -118,7 +121,7 @@
 			c.inject(f)
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.faultSpans = append(c.faultSpans, span{begin, time.Now()})
+			c.faultSpans = append(c.faultSpans, span{begin, time.Now(), f.Kind})
 		})
 	}
 	wg.Wait()
