Keep the workers of a dropped service while accepted jobs need them

Cause: since the owner sets entries aside whose service the configuration in force does not name. Operators remove routes; if the service goes with its last one, each worker of it left the list with its next heartbeat, and the jobs that were accepted before could not start any more. Change: a service also counts as named if a configuration of the term has named it or a job that was taken over needs it. Entries of other services are set aside as before. Result: TestWorkersOfADroppedServiceServeAcceptedJobs and TestWorkersOfADroppedServiceServeTakenOverJobs listed no worker before and pass; the tests of odd entries pass.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -38,6 +38,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -147,6 +148,9 @@
 	return len(c.services) == 0 || c.services[name]
 }
 
+// AddServices adds the services that the configuration names to a set. Package node calls it.
+func (c *Config) AddServices(set map[string]bool) { maps.Copy(set, c.services) }
+
 // Step is a group of equal tasks of a job. Steps may depend on each other.
 type Step struct {
 	Count int               `json:"n"`
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -105,6 +105,9 @@
 	// isolatedSince is the boot time since which this VM has been isolated, or 0.
 	isolatedSince time.Duration
 	logLimiters   map[string]*logLimiter
+	// jobServices are the services of the jobs that were taken over. The configuration may
+	// name them no more.
+	jobServices map[string]bool
 	// finishedJobs are finished jobs whose submissions are still in the store.
 	finishedJobs    []cell.JobID
 	isDeleting      bool
@@ -148,6 +151,7 @@
 		done:            make(chan struct{}),
 		deletionResults: make(chan deletionResult, 1),
 		logLimiters:     map[string]*logLimiter{},
+		jobServices:     map[string]bool{},
 		followers:       map[string]helloMessage{},
 		machine: owner.New(owner.Options{
 			Term:         term,
--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -151,6 +151,43 @@
 	is.Equal(len(removed), 0) // a serves no queue; its runs go on
 }
 
+// TestWorkersOfADroppedServiceServeAcceptedJobs guards against jobs that are accepted and never
+// run: their configuration named the service, and a later one dropped it with the last route.
+func TestWorkersOfADroppedServiceServeAcceptedJobs(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.configure(2, "other")
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1","Draining":true}`)
+	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
+	e.write("c", `{"ID":"c","Service":"odd one","Addr":"10.0.0.3:1"}`)
+	listed, removed := e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1", "b@10.0.0.2:1"})
+	is.Equal(removed, []string{"c"})
+}
+
+// TestWorkersOfADroppedServiceServeTakenOverJobs guards against the same after a change of the
+// owner: the new one has never seen the configuration that named the service.
+func TestWorkersOfADroppedServiceServeTakenOverJobs(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	value, err := cell.EncodeJob(&cell.Job{ID: "j", Queue: cell.Queue{Name: "q", Service: "s"}, Steps: []cell.Step{{Count: 1}}})
+	is.NoErr(err)
+	e.node.applyJobRecords([]cell.KeyValue{{Key: cell.JobKey("j"), Value: value}})
+	loop := newControlLoop(e.node, 2)
+	e.configure(2, "other")
+	loop.loadState()
+	e.node.setLoop(nil)
+	e.tracker = newWorkerTracker(context.Background(), e.node, loop)
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.write("b", `{"ID":"b","Service":"odd one","Addr":"10.0.0.2:1"}`)
+	listed, removed := e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1"})
+	is.Equal(removed, []string{"b"})
+}
+
 // brokenStore returns cell.ErrExpired for each read, as the adapter does for records that it
 // cannot decode.
 type brokenStore struct {
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -256,6 +256,7 @@
 // loadJob passes one unfinished job to the state machine. loadState calls it for each;
 // a job that cannot be loaded does not keep the others from it.
 func (c *controlLoop) loadJob(u unfinishedJob) {
+	c.jobServices[u.job.Queue.Service] = true
 	c.takeoverActions = append(c.takeoverActions, c.machine.Apply(eventTime(), owner.JobSubmitted{Job: u.job, Progress: u.progress})...)
 	if u.isCancelled {
 		c.takeoverActions = append(c.takeoverActions, c.machine.Apply(eventTime(), owner.JobCancelled{Job: u.job.ID})...)
@@ -311,15 +312,18 @@
 	loop    *controlLoop
 	reader  *topicReader
 	workers map[string]cell.Worker
-	// unnamed holds the entries of services that the configuration does not name.
-	unnamed       map[string]cell.Worker
+	// unnamed holds the entries of services that isNamed does not report.
+	unnamed map[string]cell.Worker
+	// services are those of the jobs that were taken over and those that a configuration of
+	// this term has named: accepted jobs run also if their service is dropped.
+	services      map[string]bool
 	configVersion int64
 }
 
 // newWorkerTracker returns a tracker that has read nothing. pollWorkers calls it once;
 // events are posted until ctx ends.
 func newWorkerTracker(ctx context.Context, n *Node, c *controlLoop) *workerTracker {
-	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}, unnamed: map[string]cell.Worker{}}
+	t := &workerTracker{node: n, loop: c, workers: map[string]cell.Worker{}, unnamed: map[string]cell.Worker{}, services: maps.Clone(c.jobServices)}
 	t.reader = n.newTopicReader(cell.TopicWorkers, func(records []cell.KeyValue) { t.applyRecords(ctx, records) })
 	t.reader.knownKeys = func() []string {
 		return slices.AppendSeq(slices.Collect(maps.Keys(t.workers)), maps.Keys(t.unnamed))
@@ -346,7 +350,7 @@
 			ev.Removed = append(ev.Removed, r.Key)
 			continue
 		}
-		if config := t.node.config.Load(); config != nil && !config.NamesService(w.Service) {
+		if config := t.node.config.Load(); config != nil && !t.isNamed(config, w.Service) {
 			t.setAside(w, !wasUnnamed)
 			ev.Removed = append(ev.Removed, r.Key)
 			continue
@@ -362,7 +366,13 @@
 	}
 }
 
-// setAside keeps the entry of a service that the configuration does not name, until it does.
+// isNamed reports whether the configuration in force names a service, or an earlier one of this
+// term or a job that was taken over does.
+func (t *workerTracker) isNamed(config *cell.Config, service string) bool {
+	return config.NamesService(service) || t.services[service]
+}
+
+// setAside keeps the entry of a service that isNamed does not report, until it does.
 // Another writer may have written the entry: under the id of a worker, its address must not
 // replace that of the worker, where runs may have to be stopped. applyRecords calls it.
 func (t *workerTracker) setAside(w cell.Worker, isNew bool) {
@@ -390,6 +400,7 @@
 		return
 	}
 	t.configVersion = config.Version
+	config.AddServices(t.services)
 	t.loop.post(ctx, owner.ConfigChanged{Config: config})
 	t.listNamed(ctx, config)
 }
@@ -400,7 +411,7 @@
 	var ev owner.WorkersListed
 	for _, id := range slices.Sorted(maps.Keys(t.unnamed)) {
 		w := t.unnamed[id]
-		if !config.NamesService(w.Service) {
+		if !t.isNamed(config, w.Service) {
 			continue
 		}
 		delete(t.unnamed, id)
