Test the recorded addresses of listed workers, and owners with the same instance

No test failed when a record replaced the address of a listed worker, when a later record without an address counted, or when the end of an owner was found by its instance alone. Result: the three new tests fail with these breaks and pass without them.

--- a/internal/cell/election/election_test.go
+++ b/internal/cell/election/election_test.go
@@ -362,3 +362,19 @@
 	is.Equal(a.writeHeartbeat(context.Background()) != nil, true)
 	is.True(!a.ownsLastRecord()) // a is deposed
 }
+
+// TestOwnerWithTheSameInstanceHasNotEnded guards against a claim against a healthy owner: a VM
+// that has owned a term before took the record of another VM with the same instance for that
+// of its own ended term.
+func TestOwnerWithTheSameInstanceHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	store := &cellstore.Store{}
+	a, b := loadedElection(t, store, "a"), loadedElection(t, store, "b")
+	b.opts.Instance = a.opts.Instance
+	_, won, err := a.claim(context.Background())
+	is.NoErr(err)
+	is.True(won)
+	is.NoErr(b.loadNewest(context.Background()))
+	b.returnedTerm = b.LastRecord().Term
+	is.True(!b.hasEnded(b.LastRecord()))
+}
--- a/internal/cell/owner/unlisted_test.go
+++ b/internal/cell/owner/unlisted_test.go
@@ -83,3 +83,33 @@
 	f.apply(RenewResult{Worker: "u", SentAt: f.now, Refusal: cell.RefusedIncarnation})
 	is.Equal(len(f.m.workers["u"].runs), 0) // all processes up to the one at new:1 have ended
 }
+
+// openRunOn returns a running job with one recorded run.
+func openRunOn(id cell.JobID, open cell.OpenRun) JobSubmitted {
+	return JobSubmitted{Job: newJob(id, newStep(1, 500)), Progress: &cell.Progress{State: cell.StateRunning, Steps: []cell.StepProgress{{LastRun: 1, OpenRuns: []cell.OpenRun{open}}}}}
+}
+
+// TestRecordWithoutAnAddressKeepsTheKnownOne guards against an unlisted worker that cannot be
+// called any more since a record of a previous build, which has no address, is a later one.
+func TestRecordWithoutAnAddressKeepsTheKnownOne(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 4000)
+	f.clearActions()
+	f.apply(openRunOn("j", cell.OpenRun{Run: 1, Worker: "u", Born: 7, Addr: "u:1"}))
+	f.apply(openRunOn("k", cell.OpenRun{Run: 1, Worker: "u", Born: 9}))
+	f.apply(Tick{})
+	is.Equal(f.m.workers["u"].info.Addr, "u:1")
+	is.Equal(f.m.workers["u"].info.Born, int64(7)) // the incarnation at that address
+}
+
+// TestListedWorkerIsCalledAtItsListedAddress guards against a recorded address that replaces
+// that of the list: its start time would be set too, so that the restart of the worker
+// goes unnoticed.
+func TestListedWorkerIsCalledAtItsListedAddress(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 4000)
+	f.apply(WorkersListed{Workers: []cell.Worker{{ID: "u", Service: "s", Addr: "u:1", Born: 7, Capacity: newStep(1, 4000).Need}}})
+	f.apply(openRunOn("j", cell.OpenRun{Run: 1, Worker: "u", Born: 9, Addr: "u:2"}))
+	is.Equal(f.m.workers["u"].info.Addr, "u:1")
+	is.Equal(f.m.workers["u"].info.Born, int64(7))
+}
