Let entries of workers disappear at any time in the simulation of cancellations

Cause: the simulation did not remove entries without an owner, in an outage, or in the 0.1 s before a hand-over, because the owner recorded the address of a worker only after its entry had disappeared. Change: the conditions are removed.

--- a/internal/cell/owner/simcancel_test.go
+++ b/internal/cell/owner/simcancel_test.go
@@ -18,8 +18,6 @@
 	simContactTime = 3 * time.Second
 	// simReadInterval is the period at which the owner reads topic jobs.
 	simReadInterval = 250 * time.Millisecond
-	// simRecordTime is the time in which an owner records that an entry has disappeared.
-	simRecordTime = 100 * time.Millisecond
 	// maxSimJobTime is the time after which a job of the cases with cancellations is
 	// cancelled at the latest.
 	maxSimJobTime = 25 * time.Second
@@ -54,11 +52,6 @@
 	// that of the last one of the store, of the owner's links or of an order.
 	disruptedUntil     time.Duration
 	coreDisruptedUntil time.Duration
-	// unlistedAt is when the last entry of a worker disappeared. The platform removes the
-	// entry of a living worker only after three heartbeats without a path to the store,
-	// which is a disruption; the simulation lets it disappear in calm too, but not while the
-	// cell has no owner that could record the address: the runs there end with their leases.
-	unlistedAt time.Duration
 	// isExecutingLate is true while a request is carried out seconds after it was sent.
 	isExecutingLate bool
 }
@@ -200,7 +193,7 @@
 func (s *sim) injectCalmChanges(end time.Duration) {
 	c := s.faults.cancellations
 	s.repeatAlways(c.handOverInterval, end, func() {
-		if s.owner.isStopped || s.owner.isCut || s.now-s.calm.unlistedAt < simRecordTime {
+		if s.owner.isStopped || s.owner.isCut {
 			return
 		}
 		s.owner.isStopped = true
@@ -208,11 +201,10 @@
 	})
 	s.repeatAlways(c.unlistInterval, end, func() {
 		w := s.randomWorker()
-		if !w.isUp || w.isUnlisted || s.owner.isStopped || s.owner.isCut || s.isStoreDown {
+		if !w.isUp || w.isUnlisted {
 			return
 		}
 		w.isUnlisted = true
-		s.calm.unlistedAt = s.now
 		s.owner.apply(WorkersListed{Removed: []string{w.info.ID}})
 		s.after(time.Second+time.Duration(s.rand.IntN(9000))*time.Millisecond, w.list)
 	})
