--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -1,9 +1,6 @@
 package owner
 
 import (
-	"bytes"
-	"slices"
-	"strings"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -74,48 +71,6 @@
 	notBefore time.Duration
 }
 
-// queueStats are moving averages over the finished runs and advice answers of a
-// queue.
-type queueStats struct {
-	// eligibleFraction is the fraction of queried workers that may run a step;
-	// eligibleSamples is the number of workers that it is derived from, up to
-	// maxEligibleSamples.
-	eligibleFraction float64
-	eligibleSamples  float64
-	// meanRunTime is the run time of a task; 0 before the first one is done.
-	meanRunTime time.Duration
-}
-
-const (
-	// initialEligibleFraction is assumed before the first answer and counts as much
-	// as an answer about initialEligibleSamples workers.
-	initialEligibleFraction = 0.5
-	initialEligibleSamples  = 10
-	// maxEligibleSamples bounds the memory of the fraction, so that an answer about
-	// 30 workers changes it by a tenth of the difference.
-	maxEligibleSamples = 270
-	// newSampleWeight is the weight of a new value in the mean run time.
-	newSampleWeight = 0.1
-)
-
-// statsFor returns the moving averages of a queue, and creates them when the
-// queue is first used.
-func (m *Machine) statsFor(queue string) *queueStats {
-	q, ok := m.statsByQueue[queue]
-	if !ok {
-		q = &queueStats{eligibleFraction: initialEligibleFraction, eligibleSamples: initialEligibleSamples}
-		m.statsByQueue[queue] = q
-	}
-	return q
-}
-
-// addEligibleSamples adds an answer about workers that no earlier answer about the
-// step named. Each worker counts the same, however many of them an answer is about.
-func (q *queueStats) addEligibleSamples(eligible, queried int) {
-	q.eligibleFraction += (float64(eligible) - float64(queried)*q.eligibleFraction) / (q.eligibleSamples + float64(queried))
-	q.eligibleSamples = min(q.eligibleSamples+float64(queried), maxEligibleSamples)
-}
-
 // currentQueue returns a job's queue as configured now, or as it was at
 // submission if the configuration no longer has it. Scheduling cycles and
 // the handlers of failed runs and advice call it; the result is cached until
@@ -430,108 +385,3 @@
 	delete(m.jobs, j.def.ID)
 	m.emit(JobFinished{Job: j.def.ID})
 }
-
-// encodeProgress returns the value of the job's progress record. Once it would be too long
-// for the store, the occurrences that are done are summed up and it is compressed: the store
-// would refuse the batches of all jobs with it. TakeBatch calls it for each job that has changed.
-func (j *job) encodeProgress() ([]byte, error) {
-	p := j.progress()
-	if !j.hasLongRecord {
-		value, err := cell.EncodeProgress(p)
-		if err != nil || 1+len(cell.ProgressKey(j.def.ID))+len(value) <= cell.MaxRecordBytes {
-			return value, err
-		}
-		j.hasLongRecord = true
-	}
-	j.sumUpDoneOccurrences(p)
-	return cell.EncodeLongProgress(p)
-}
-
-// sumUpDoneOccurrences replaces the steps of occurrences that are done by a character for
-// each occurrence, except steps with open runs. encodeProgress calls it.
-func (j *job) sumUpDoneOccurrences(p *cell.Progress) {
-	if j.state.IsFinal() {
-		return
-	}
-	done := bytes.Repeat([]byte{'1'}, j.releasedOccurrences)
-	for _, s := range j.stepsInOrder {
-		if s.doneTasks < len(s.tasks) {
-			done[s.id.Occurrence] = '0'
-		}
-	}
-	p.DoneOccurrences = string(done)
-	p.Steps = slices.DeleteFunc(p.Steps, func(sp cell.StepProgress) bool {
-		return done[sp.Occurrence] == '1' && len(sp.OpenRuns) == 0
-	})
-}
-
-// progress builds the progress record of the job. encodeProgress calls it.
-func (j *job) progress() *cell.Progress {
-	p := &cell.Progress{State: j.state}
-	if j.state.IsFinal() {
-		p.FinishedAt = j.finishedAt.Unix()
-	}
-	for _, s := range j.stepsInOrder {
-		if sp, ok := s.progress(j.state.IsFinal()); ok {
-			p.Steps = append(p.Steps, sp)
-		}
-	}
-	if j.state.IsFinal() {
-		for _, r := range j.runsWithoutStep {
-			p.Steps = append(p.Steps, cell.StepProgress{Occurrence: r.id.Occurrence, Step: r.id.Step, LastRun: r.number, OpenRuns: []cell.OpenRun{r.record()}})
-		}
-	}
-	return p
-}
-
-// progress builds the part of the job's progress record that is about the
-// step; ok is false if there is nothing to record. After the job's final
-// state only open runs are recorded. job.progress calls it for each step.
-func (s *step) progress(final bool) (p cell.StepProgress, ok bool) {
-	p = cell.StepProgress{Occurrence: s.id.Occurrence, Step: s.id.Step, LastRun: s.lastRunNumber}
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if r := t.run; r != nil {
-			p.OpenRuns = append(p.OpenRuns, r.record())
-		}
-		if t.failedRuns > 0 && !final && !s.def.Gang {
-			p.SetFailedRuns(i, t.failedRuns)
-		}
-		if t.run == nil && !t.isDone && !final && !s.def.Gang {
-			p.SetCheckpoint(i, t.checkpoint)
-		}
-	}
-	if final {
-		return p, len(p.OpenRuns) > 0
-	}
-	if s.def.Gang && s.gangFailures > 0 {
-		p.SetFailedRuns(0, s.gangFailures)
-		p.LastFailedRun = s.lastFailedGangRun
-	}
-	if s.def.Gang && s.doneTasks == 0 {
-		p.SetCheckpoint(0, s.checkpoint)
-	}
-	if s.doneTasks > 0 {
-		p.DoneTasks = s.doneBits()
-	}
-	return p, s.lastRunNumber > 0 || s.doneTasks > 0
-}
-
-// record returns what the progress record of the job says about an open run.
-func (r *run) record() cell.OpenRun {
-	return cell.OpenRun{Index: r.id.Index, Run: r.number, Worker: r.worker.info.ID, Born: r.workerStartedAt, Addr: r.worker.info.Addr}
-}
-
-// doneBits returns one character per task for the progress record: '1' if
-// the task is done, else '0'.
-func (s *step) doneBits() string {
-	var b strings.Builder
-	for i := range s.tasks {
-		if s.tasks[i].isDone {
-			b.WriteByte('1')
-		} else {
-			b.WriteByte('0')
-		}
-	}
-	return b.String()
-}
