Look past a former owner that ended before it recorded what it knew

Cause: a new owner counted the authority of silent earlier owners in full unless the last owner's record said until when they may renew leases. An owner that is killed between its claim and its first heartbeat after the takeover records nothing, so that proof of the end of all processes was of no use. Only the last owner was asked at its address for such proof, and only one report of an ended process was remembered.

Change: if the last record does not say it, the new owner reads the records of 8 s before its claim, back to one that does, and needs proof of the end of each owner from there on: resigned, another process at its address (in an answer, or by a later claim), or an answer that it holds no term. It remembers 64 proofs, each with address, instance, term and time, and asks all former owners without proof after the takeover.

The two tests of former_test.go that named the former owner name its record now, and ReportEnded takes the address too.

--- a/internal/cell/election/election.go
+++ b/internal/cell/election/election.go
@@ -141,11 +141,12 @@
 	// twice: its number is the fencing token of one ownership, whose batches of progress
 	// are numbered from 0.
 	returnedTerm int64
-	// endedInstance is the instance of an owner whose process was last reported to have
-	// certainly ended.
-	endedInstance atomic.Pointer[string]
+	// ends are the proofs that ownerships have ended.
+	ends endProofs
 	// former is the owner before this VM's last claim.
 	former formerOwner
+	// formerOwners are the owners before this VM's last claim. FindFormerRenewalsEnd reads them.
+	formerOwners formerOwners
 	// formerRenewalsEnd is until when an owner of an earlier term may renew leases, on
 	// the clock of Options.Now; 0 if that is not known.
 	formerRenewalsEnd atomic.Int64
@@ -181,8 +182,8 @@
 
 // ReportEnded is Suspect for a process that has certainly ended, since another one answers
 // at its address. A refused connection is no proof: a network that is cut may refuse it.
-func (e *Election) ReportEnded(instance string) {
-	e.endedInstance.Store(&instance)
+func (e *Election) ReportEnded(addr, instance string) {
+	e.ends.add(endProof{addr: addr, instance: instance, term: allTerms, at: e.opts.Now()})
 	e.Suspect(instance)
 }
 
@@ -311,9 +312,10 @@
 // calls it once the owner is down and no other VM has claimed the cell.
 func (e *Election) claim(ctx context.Context) (term int64, won bool, err error) {
 	rec := OwnerRecord{Term: max(e.lastRecord.Term, e.nextOffset) + 1, Node: e.opts.Node, Addr: e.opts.Addr, Instance: e.opts.Instance}
-	e.former = formerOwner{record: e.lastRecord, hasEnded: e.isKnownToHaveEnded(e.lastRecord), lastOffset: e.nextOffset - 1, knownAt: e.lastRecordKnownAt()}
+	e.former = formerOwner{record: e.lastRecord, isUnreadable: e.isNewestUnreadable, lastOffset: e.nextOffset - 1, knownAt: e.lastRecordKnownAt()}
 	e.formerRenewalsEnd.Store(0)
 	e.formerLeases.Store(nil)
+	e.formerOwners = formerOwners{}
 	sentAt := e.opts.Now()
 	end, err := e.appendRecord(ctx, rec)
 	var conflict *cell.ConflictError
--- a/internal/cell/election/former_test.go
+++ b/internal/cell/election/former_test.go
@@ -51,7 +51,7 @@
 // TestEndedOwnerRenewsNothing guards against runs of dead workers that wait for the authority of an owner whose process has ended.
 func TestEndedOwnerRenewsNothing(t *testing.T) {
 	for name, end := range map[string]func(a, b *Election){
-		"replaced": func(_, b *Election) { b.ReportEnded("a-1") },
+		"replaced": func(_, b *Election) { b.ReportEnded("a:1", "a-1") },
 		"resigned": func(a, b *Election) {
 			_ = a.Resign(context.Background())
 			_, _ = b.confirmLastOwner(context.Background(), "a-1")
@@ -88,10 +88,11 @@
 		_, err := b.confirmLastOwner(ctx, "a-1")
 		is.NoErr(err)
 		is.Equal(claimAndFence(t, b), testAuthority)
-		_, instance := b.FormerOwner()
-		is.Equal(instance, "a-1")
+		is.Equal(len(b.FormerOwners()), 1)
+		former := b.FormerOwners()[0]
+		is.Equal(former.Instance, "a-1")
 		time.Sleep(time.Second)
-		is.True(b.FormerOwnerEnded(ctx) <= time.Second+10*time.Millisecond)
+		is.True(b.FormerOwnerEnded(ctx, former) <= time.Second+10*time.Millisecond)
 	})
 }
 
@@ -113,7 +114,7 @@
 		time.Sleep(time.Second)
 		c := loadedElection(t, store, "c")
 		sharedClock(begin, c)
-		c.ReportEnded("b-1")
+		c.ReportEnded("b:1", "b-1")
 		end := claimAndFence(t, c)
 		is.True(end >= testAuthority && end <= testAuthority+1100*time.Millisecond) // the age of b's last record is not known
 	})
@@ -131,7 +132,7 @@
 		is.NoErr(a.writeHeartbeat(ctx))
 		b := loadedElection(t, store, "b")
 		sharedClock(time.Now(), b)
-		b.ReportEnded("a-1")
+		b.ReportEnded("a:1", "a-1")
 		is.Equal(claimAndFence(t, b), testAuthority)
 		store.Forget(cell.TopicOwner)
 		is.Equal(b.FindFormerRenewalsEnd(ctx, b.opts.Now(), testAuthority), testAuthority) // its record cannot be read
--- a/internal/cell/election/proof_test.go
+++ b/internal/cell/election/proof_test.go
@@ -83,7 +83,7 @@
 		b := loadedElection(t, store, "b")
 		b.opts.ClaimDelay = 100 * time.Millisecond
 		sharedClock(time.Now(), a, b)
-		b.ReportEnded("a-1")
+		b.ReportEnded("a:1", "a-1")
 		time.AfterFunc(50*time.Millisecond, func() { _ = a.writeHeartbeat(ctx) })
 		begin := time.Now()
 		_, err = b.Campaign(ctx)
--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -205,7 +205,7 @@
 	}
 	if resp.Instance != record.Instance {
 		// Another process answers at the owner's address.
-		n.election.ReportEnded(record.Instance)
+		n.election.ReportEnded(record.Addr, record.Instance)
 		return false
 	}
 	if resp.Owner == nil || resp.Owner.Instance != resp.Instance {
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -185,22 +185,24 @@
 	})
 }
 
-// awaitFormerOwnersEnd asks at the address of the former owner whether its ownership has
-// ended, for as long as it may have authority. The claim may have followed a refused
-// connection, before another process was started, or a pause of the former owner.
+// awaitFormerOwnersEnd asks at the addresses of former owners whether their ownerships have
+// ended, for as long as they may have authority. The claim may have followed a refused
+// connection, before another process was started, or a pause of the former owner; an owner
+// before that one matters if the last one has recorded nothing about it.
 // runOwnership calls it on its own goroutine after the takeover.
 func (n *Node) awaitFormerOwnersEnd(ctx context.Context, c *controlLoop) {
-	addr, instance := n.election.FormerOwner()
-	if addr == "" {
-		return
-	}
 	for deadline := bootTime() + owner.AuthorityTimeout; ctx.Err() == nil && bootTime() < deadline; sleep(ctx, helloInterval) {
-		resp, err := n.sendHello(ctx, n.peer(addr))
-		if err != nil || !provesEnd(resp, instance) {
-			continue
+		former := n.election.FormerOwners()
+		if len(former) == 0 {
+			return
+		}
+		for _, r := range former {
+			resp, err := n.sendHello(ctx, n.peer(r.Addr))
+			if err != nil || !provesEnd(resp, r.Instance) {
+				continue
+			}
+			c.post(ctx, owner.FormerOwnersFenced{RenewalsEnd: n.election.FormerOwnerEnded(ctx, r)})
 		}
-		c.post(ctx, owner.FormerOwnersFenced{RenewalsEnd: n.election.FormerOwnerEnded(ctx)})
-		return
 	}
 }
 
