Use no entry that moves a worker that runs

Cause: a complete entry of another writer under the id of a worker replaced the worker's address, though the same incarnation, by its start time, answers at the known one. The leases of its runs were renewed and the runs of cancelled jobs stopped at the other address.

Change: such an entry ends the use of the worker until its next good entry; its runs are renewed and stopped at the address at which it answers. The address of an incarnation that has not answered yet, and that of a later one, is taken as before.

Measured: TestEntryWithAnotherAddressOfARunningWorkerIsNotUsed failed before.

--- a/internal/cell/owner/oddentry_test.go
+++ b/internal/cell/owner/oddentry_test.go
@@ -54,3 +54,46 @@
 	f.scheduleAndRecord()
 	is.Equal(len(actionsOf[SendStart](f)), 1) // of the other job
 }
+
+// TestEntryWithAnotherAddressOfARunningWorkerIsNotUsed guards against an entry of another writer
+// that is complete and has another address than that at which the same incarnation of the
+// worker answers: its leases would be renewed and its runs stopped there (issue 28).
+func TestEntryWithAnotherAddressOfARunningWorkerIsNotUsed(t *testing.T) {
+	for _, born := range []int64{0, 1} {
+		is := is.New(t)
+		f := newFixture(t, 1000)
+		start := startOneTask(f)
+		f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: "w"})
+		active := cell.ActiveRun{Task: start.Task.String(), Run: start.Run, Percent: 10}
+		f.answerRenewal(active)
+		good := f.m.workers["w"].info
+		odd := good
+		odd.Addr, odd.Born = "10.9.9.9:1", born
+		f.apply(WorkersListed{Workers: []cell.Worker{odd}})
+		f.clearActions()
+		f.apply(JobSubmitted{Job: newJob("other", newStep(1, 100))})
+		f.scheduleAndRecord()
+		is.Equal(len(actionsOf[SendStart](f)), 0)
+		f.answerRenewal(active)
+		f.apply(JobCancelled{Job: "j"})
+		f.now += 2 * time.Second
+		f.apply(Tick{})
+		is.True(len(actionsOf[Renew](f)) > 0)
+		for _, r := range actionsOf[Renew](f) {
+			is.Equal(r.Renewal.Addr, good.Addr)
+		}
+		is.Equal(actionsOf[SendStop](f)[0].Stop.Addr, good.Addr)
+
+		f.apply(WorkersListed{Workers: []cell.Worker{good}})
+		f.answerRenewal(active)
+		f.apply(Tick{})
+		f.scheduleAndRecord()
+		is.Equal(len(actionsOf[SendStart](f)), 1)
+
+		// A later incarnation may be at another address.
+		moved := good
+		moved.Addr, moved.Born = "10.9.9.9:1", 2
+		f.apply(WorkersListed{Workers: []cell.Worker{moved}})
+		is.Equal(f.m.workers["w"].info.Addr, moved.Addr)
+	}
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -120,16 +120,31 @@
 		m.updateWorker(info)
 	}
 	for _, id := range e.Removed {
-		w, ok := m.workers[id]
-		if !ok || !w.isListed {
-			continue
+		if w, ok := m.workers[id]; ok {
+			m.unlistWorker(w, "worker is no longer listed in the store")
 		}
-		w.isListed = false
-		m.logDecision(id, "worker is no longer listed in the store", "open_runs", len(w.runs))
-		m.removeWorkerIfUnused(w)
 	}
 }
 
+// unlistWorker ends the use of a worker for new tasks. Its runs are renewed and stopped at its
+// last address. updateWorkers calls it for each removed entry, updateWorker for one that cannot be that of the
+// worker.
+func (m *Machine) unlistWorker(w *worker, reason string) {
+	if !w.isListed {
+		return
+	}
+	w.isListed = false
+	m.logDecision(w.info.ID, reason, "open_runs", len(w.runs))
+	m.removeWorkerIfUnused(w)
+}
+
+// contradicts reports whether an entry names another address than that at which the incarnation
+// of the worker that it is about has answered. The address does not change while a process
+// runs: the entry comes from another writer.
+func (w *worker) contradicts(info cell.Worker) bool {
+	return w.hasAnswered && w.info.Born != 0 && (info.Born == 0 || info.Born == w.info.Born) && info.Addr != w.info.Addr
+}
+
 // updateWorker adds a worker or updates it from its changed entry. An entry
 // with a later start time shows that the worker has restarted. updateWorkers
 // calls it for each entry.
@@ -139,6 +154,10 @@
 		w = m.addWorker(info.ID)
 		w.info.Born = info.Born
 	}
+	if w.contradicts(info) {
+		m.unlistWorker(w, "entry names another address than that of the worker")
+		return
+	}
 	if info.Born != 0 && w.info.Born != info.Born && info.Born > w.info.Born {
 		m.startIncarnation(w, info.Born)
 	}
