Count the end of an occurrence once if its last step is a gang

Each member of a gang that a worker lists as done ran completeTask for the whole gang, and each of these calls counted the end of an occurrence. A repeated job whose last step is a gang of four lost four open occurrences with the first one: once all were released it was completed while later occurrences waited or ran, and their runs were stopped. TestOccurrenceOfAGangEndsOnce failed before.

--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -89,6 +89,10 @@
 // completes the job if nothing is left. It is called for each run that
 // completed its task, also for one that was given up.
 func (m *Machine) completeTask(s *step, index int) {
+	if s.doneTasks == len(s.tasks) {
+		// Each member of a gang is listed as done; the step is done with the first one.
+		return
+	}
 	if s.def.Gang {
 		for i := range s.tasks {
 			m.markDone(s, i)
