Test cancellations in races with the reader, and entries that stay set aside

No test failed when lookUp did not read the replica again after the unread part of the topic, when followers had no time for a slow store, when an instance did not name its VM, or when each configuration listed the entries that were set aside.

--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/internal/cell/election"
 	"gypsumwinch/standin/cellstore"
 )
 
@@ -109,3 +110,57 @@
 	is.True(errors.As(err, &notExecuted))
 	is.True(notExecuted.RetryAfter > 0)
 }
+
+// askedPeer is a VM that answers State requests with answer.
+type askedPeer struct {
+	cellpb.Cell
+	answer func(ctx context.Context) *cellpb.StateResponse
+}
+
+func (p askedPeer) State(ctx context.Context, _ *cellpb.StateRequest) (*cellpb.StateResponse, error) {
+	return p.answer(ctx), nil
+}
+
+func (askedPeer) Notify(context.Context, *cellpb.NotifyRequest) (*cellpb.NotifyResponse, error) {
+	return &cellpb.NotifyResponse{}, nil
+}
+
+// TestCancellationOfAJobThatIsJustReadIsNotDenied guards against a job that runs on since the
+// VM has read it after it looked for it in its replica, but before it read the unread part of the topic.
+func TestCancellationOfAJobThatIsJustReadIsNotDenied(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := &cellstore.Store{}
+	n := newFollower(t, store)
+	go n.committer.run(ctx)
+	n.peerClients["10.0.0.2:7720"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
+		appendJob(t, store, "a")
+		if err := n.jobsReader.readToEnd(ctx); err != nil {
+			t.Error(err)
+		}
+		return &cellpb.StateResponse{}
+	}}
+	n.setOwnerFromPeer(election.OwnerRecord{Term: 1, Node: "owner", Addr: "10.0.0.2:7720", Instance: "i"})
+	known, err := n.Cancel(ctx, "a")
+	is.NoErr(err)
+	is.True(known)
+}
+
+// TestFollowersHaveTimeToReadTheStore guards against cancellations that a small VM refuses for as long
+// as the store is slow: the followers need its latency to read what is unread.
+func TestFollowersHaveTimeToReadTheStore(t *testing.T) {
+	is := is.New(t)
+	const storeLatency = time.Hour
+	n := newVMBesideFollower(t, &cellstore.Store{}, newFollower(t, &cellstore.Store{}))
+	n.storeRouter.latency.Store(int64(storeLatency))
+	var given time.Duration
+	n.peerClients["10.0.0.2:7720"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
+		deadline, _ := ctx.Deadline()
+		given = time.Until(deadline)
+		return &cellpb.StateResponse{Follows: true}
+	}}
+	_, err := n.Cancel(context.Background(), "a")
+	is.NoErr(err)
+	is.True(given > storeLatency)
+}
--- a/internal/cell/node/hello_test.go
+++ b/internal/cell/node/hello_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +36,11 @@
 		})
 	}
 }
+
+// TestInstanceNamesItsVM guards against two VMs whose processes have one instance, however the rest of it
+// is drawn: the election would take them for one process.
+func TestInstanceNamesItsVM(t *testing.T) {
+	is := is.New(t)
+	n := New(Settings{Name: "vm-7", PeerAddr: "10.0.0.1:7720"}, Ports{Store: &cellstore.Store{}}, io.Discard)
+	is.True(strings.HasPrefix(n.instance, "vm-7-"))
+}
--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -151,6 +151,24 @@
 	is.Equal(len(removed), 0) // a serves no queue; its runs go on
 }
 
+// TestEntryStaysAsideUntilItsServiceIsNamed guards against an entry of another writer that becomes a
+// worker with the next configuration, whatever that names.
+func TestEntryStaysAsideUntilItsServiceIsNamed(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"third","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.configure(2, "s")
+	listed, _ := e.read()
+	is.Equal(len(listed), 0)
+	e.write("a", "")
+	e.configure(3, "third")
+	listed, removed := e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1"}) // its deletion is read after the configuration
+	is.Equal(removed, []string{"a"})
+}
+
 // TestWorkersOfADroppedServiceServeAcceptedJobs guards against jobs that are accepted and never
 // run: their configuration named the service, and a later one dropped it with the last route.
 func TestWorkersOfADroppedServiceServeAcceptedJobs(t *testing.T) {
@@ -162,7 +180,7 @@
 	e.configure(2, "other")
 	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1","Draining":true}`)
 	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
-	e.write("c", `{"ID":"c","Service":"odd one","Addr":"10.0.0.3:1"}`)
+	e.write("c", `{"ID":"c","Service":"third","Addr":"10.0.0.3:1"}`)
 	listed, removed := e.read()
 	is.Equal(listed, []string{"a@10.0.0.1:1", "b@10.0.0.2:1"})
 	is.Equal(removed, []string{"c"})
@@ -182,7 +200,7 @@
 	e.node.setLoop(nil)
 	e.tracker = newWorkerTracker(context.Background(), e.node, loop)
 	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
-	e.write("b", `{"ID":"b","Service":"odd one","Addr":"10.0.0.2:1"}`)
+	e.write("b", `{"ID":"b","Service":"third","Addr":"10.0.0.2:1"}`)
 	listed, removed := e.read()
 	is.Equal(listed, []string{"a@10.0.0.1:1"})
 	is.Equal(removed, []string{"b"})
