--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -196,20 +196,30 @@
 	if !n.knowsAllJobs() {
 		return n.queryFollowers(ctx, id, coversAll)
 	}
-	found, err := n.jobsReader.hasUnreadKey(ctx, cell.JobKey(id))
+	answer, err := n.findUnread(ctx, id)
 	if err != nil {
 		n.countRequest("state", "unknown")
 		return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: err}
 	}
 	n.countRequest("state", "looked_up")
-	// The reader may have read the job while the store was called.
-	if state, known := n.replica.state(id); known {
-		return jobAnswer{state, true, sourceReplica}, nil
-	}
-	if !found && !n.hasReadProgress() {
+	if !answer.isKnown && !n.hasReadProgress() {
 		n.countRequest("state", "unknown")
 		return jobAnswer{}, &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: eris.New("topic progress was not read since the jobs were loaded")}
 	}
+	return answer, nil
+}
+
+// findUnread looks for a job that was not in the replica in the unread part of topic jobs, and then
+// in the replica again: the reader may have read the job before the store was called.
+// lookUp and the State RPC call it on a VM that knows all jobs.
+func (n *Node) findUnread(ctx context.Context, id cell.JobID) (jobAnswer, error) {
+	found, err := n.jobsReader.hasUnreadKey(ctx, cell.JobKey(id))
+	if err != nil {
+		return jobAnswer{}, err
+	}
+	if state, known := n.replica.state(id); known {
+		return jobAnswer{state, true, sourceReplica}, nil
+	}
 	return jobAnswer{cell.StateQueued, found, sourceUnreadPart}, nil
 }
 
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -47,18 +47,13 @@
 		return resp, nil
 	}
 	if req.ReadUnread {
-		found, err := s.node.jobsReader.hasUnreadKey(ctx, cell.JobKey(cell.JobID(req.Job)))
+		answer, err := s.node.findUnread(ctx, cell.JobID(req.Job))
 		if err != nil {
 			resp.Follows = false
 			return resp, nil
 		}
-		if found {
-			resp.State = string(cell.StateQueued)
-			return resp, nil
-		}
-		// The reader may have read the job while the store was called.
-		if state, known := s.node.replica.state(cell.JobID(req.Job)); known {
-			resp.State = string(state)
+		if answer.isKnown {
+			resp.State = string(answer.state)
 			return resp, nil
 		}
 	}
