--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -169,6 +169,22 @@
 	is.Equal(removed, []string{"a"})
 }
 
+// TestEntryThatDisappearsWhileItIsSetAside guards against a worker that left long ago, and is used since
+// the record of the deletion of its entry had expired when a configuration named its service.
+func TestEntryThatDisappearsWhileItIsSetAside(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"third","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.write("a", "")
+	e.tracker.reader.isLoaded.Store(false) // the newest records are loaded: a is not among them
+	e.read()
+	e.configure(2, "third")
+	listed, _ := e.read()
+	is.Equal(len(listed), 0)
+}
+
 // TestWorkersOfADroppedServiceServeAcceptedJobs guards against jobs that are accepted and never
 // run: their configuration named the service, and a later one dropped it with the last route.
 func TestWorkersOfADroppedServiceServeAcceptedJobs(t *testing.T) {
