Leave out records with odd keys when a VM reads the store for another

Cause: an RPC carries the key of a record as a text. With a record of another writer whose key is not valid UTF-8, the answer of a store proxy could not be encoded. A VM that the store does not answer got an error for each read of the workers' entries through any proxy, and stayed at the offset before this record. Change: a store proxy leaves such records out; the offset behind them is returned as before. They name no worker, and no key of our own topics is like that. Result: TestOddKeysDoNotStopReadsThroughProxies failed before (string field contains invalid UTF-8) and passes.

--- a/internal/cell/node/storeproxyserver.go
+++ b/internal/cell/node/storeproxyserver.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -100,5 +102,8 @@
 		batch, err = call()
 	}
 	outcome, _ := outcomeFromError(err)
-	return &cellpb.BatchResponse{Outcome: outcome, Records: recordsToProto(batch.Records), Next: batch.Next, End: batch.End}
+	// A text of an RPC must be valid UTF-8. Other writers may use any bytes as a key; none of
+	// ours and no id of a worker is such a key.
+	records := slices.DeleteFunc(slices.Clone(batch.Records), func(r cell.KeyValue) bool { return !utf8.ValidString(r.Key) })
+	return &cellpb.BatchResponse{Outcome: outcome, Records: recordsToProto(records), Next: batch.Next, End: batch.End}
 }
--- a/internal/cell/node/storerouter_test.go
+++ b/internal/cell/node/storerouter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,6 +78,39 @@
 	is.True(errors.Is(err, cell.ErrExpired))
 }
 
+// proxyOverHTTP is a store proxy that is called over HTTP, as all are.
+func proxyOverHTTP(t *testing.T, store cell.Store) cellpb.Cell {
+	t.Helper()
+	server := httptest.NewServer(cellpb.NewCellServer(&proxyPeer{router: newRouter(store)}))
+	t.Cleanup(server.Close)
+	return cellpb.NewCellProtobufClient(server.URL, server.Client())
+}
+
+// TestOddKeysDoNotStopReadsThroughProxies guards against a VM without a direct route that cannot follow
+// the list of workers any more: the keys of records are texts in the RPC, so that a proxy
+// could not encode the answer with a record of another writer whose key is none (issue 28).
+func TestOddKeysDoNotStopReadsThroughProxies(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	for _, key := range []string{"a", "\xff", "b"} {
+		_, err := store.Append(ctx, cell.Append{Topic: cell.TopicWorkers, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: key, Value: []byte("v")}}})
+		is.NoErr(err)
+	}
+	r := newRouter(unreachableStore{store}, proxyOverHTTP(t, store))
+	r.unreachableSince.Store(1)
+	keysOf := func(batch cell.Batch, err error) (keys []string) {
+		is.NoErr(err)
+		is.Equal(batch.Next, int64(3))
+		for _, kv := range batch.Records {
+			keys = append(keys, kv.Key)
+		}
+		return keys
+	}
+	is.Equal(keysOf(r.Read(ctx, cell.TopicWorkers, 0, 0)), []string{"a", "b"})
+	is.Equal(keysOf(r.Newest(ctx, cell.TopicWorkers)), []string{"a", "b"})
+}
+
 // TestStoreUnreachableFromAllVMs guards the error cell.ErrNotExecuted when the
 // store answers no VM: proxies do not forward calls to other proxies.
 func TestStoreUnreachableFromAllVMs(t *testing.T) {
