--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -151,6 +151,40 @@
 	is.Equal(len(removed), 0) // a serves no queue; its runs go on
 }
 
+// TestEntryStaysAsideUntilItsServiceIsNamed guards against an entry of another writer that becomes a
+// worker with the next configuration, whatever that names.
+func TestEntryStaysAsideUntilItsServiceIsNamed(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"third","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.configure(2, "s")
+	listed, _ := e.read()
+	is.Equal(len(listed), 0)
+	e.write("a", "")
+	e.configure(3, "third")
+	listed, removed := e.read()
+	is.Equal(listed, []string{"a@10.0.0.1:1"}) // its deletion is read after the configuration
+	is.Equal(removed, []string{"a"})
+}
+
+// TestEntryThatDisappearsWhileItIsSetAside guards against a worker that left long ago, and is used since
+// the record of the deletion of its entry had expired when a configuration named its service.
+func TestEntryThatDisappearsWhileItIsSetAside(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.configure(1, "s")
+	e.write("a", `{"ID":"a","Service":"third","Addr":"10.0.0.1:1"}`)
+	e.read()
+	e.write("a", "")
+	e.tracker.reader.isLoaded.Store(false) // the newest records are loaded: a is not among them
+	e.read()
+	e.configure(2, "third")
+	listed, _ := e.read()
+	is.Equal(len(listed), 0)
+}
+
 // TestWorkersOfADroppedServiceServeAcceptedJobs guards against jobs that are accepted and never
 // run: their configuration named the service, and a later one dropped it with the last route.
 func TestWorkersOfADroppedServiceServeAcceptedJobs(t *testing.T) {
@@ -162,7 +196,7 @@
 	e.configure(2, "other")
 	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1","Draining":true}`)
 	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
-	e.write("c", `{"ID":"c","Service":"odd one","Addr":"10.0.0.3:1"}`)
+	e.write("c", `{"ID":"c","Service":"third","Addr":"10.0.0.3:1"}`)
 	listed, removed := e.read()
 	is.Equal(listed, []string{"a@10.0.0.1:1", "b@10.0.0.2:1"})
 	is.Equal(removed, []string{"c"})
@@ -182,7 +216,7 @@
 	e.node.setLoop(nil)
 	e.tracker = newWorkerTracker(context.Background(), e.node, loop)
 	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
-	e.write("b", `{"ID":"b","Service":"odd one","Addr":"10.0.0.2:1"}`)
+	e.write("b", `{"ID":"b","Service":"third","Addr":"10.0.0.2:1"}`)
 	listed, removed := e.read()
 	is.Equal(listed, []string{"a@10.0.0.1:1"})
 	is.Equal(removed, []string{"b"})
