Take no start time in the future for the restart of a worker

Change: an entry whose start time is more than a minute later than the time of day ends the use of the worker until its next good entry. Clocks jump by seconds.

Measured: TestEntryWithAStartTimeInTheFutureIsNoRestart failed before.

--- a/internal/cell/owner/oddentry_test.go
+++ b/internal/cell/owner/oddentry_test.go
@@ -97,3 +97,30 @@
 		is.Equal(f.m.workers["w"].info.Addr, moved.Addr)
 	}
 }
+
+// TestEntryWithAStartTimeInTheFutureIsNoRestart guards against an entry of another writer whose
+// start time is later than the time of day: the worker counted as restarted, and its runs
+// were started elsewhere while they went on (issue 28).
+func TestEntryWithAStartTimeInTheFutureIsNoRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.addWorker("z", 1000)
+	start := startOneTask(f)
+	f.apply(StartResult{Task: start.Task, Run: start.Run, Worker: start.Worker})
+	active := cell.ActiveRun{Task: start.Task.String(), Run: start.Run, Percent: 10}
+	f.apply(RenewResult{Worker: start.Worker, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1, ActiveRuns: []cell.ActiveRun{active}}})
+	f.clearActions()
+	odd := f.m.workers[start.Worker].info
+	odd.Born = f.time().Wall.Add(time.Hour).UnixMilli()
+	f.apply(WorkersListed{Workers: []cell.Worker{odd}})
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 0)
+	is.Equal(len(f.m.workers[start.Worker].runs), 1)
+	is.True(!f.m.isUsable(f.m.workers[start.Worker]))
+
+	restarted := odd
+	restarted.Born = f.time().Wall.Add(time.Second).UnixMilli() // clocks differ by seconds
+	f.apply(WorkersListed{Workers: []cell.Worker{restarted}})
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 1)
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -145,6 +145,10 @@
 	return w.hasAnswered && w.info.Born != 0 && (info.Born == 0 || info.Born == w.info.Born) && info.Addr != w.info.Addr
 }
 
+// maxClockAhead is how far the clock of a worker may be ahead of that of this VM; the times of
+// day jump by seconds. An entry with a later start time comes from another writer.
+const maxClockAhead = time.Minute
+
 // updateWorker adds a worker or updates it from its changed entry. An entry
 // with a later start time shows that the worker has restarted. updateWorkers
 // calls it for each entry.
@@ -154,9 +158,13 @@
 		w = m.addWorker(info.ID)
 		w.info.Born = info.Born
 	}
-	if w.contradicts(info) {
+	switch {
+	case w.contradicts(info):
 		m.unlistWorker(w, "entry names another address than that of the worker")
 		return
+	case ok && info.Born > m.now.Wall.Add(maxClockAhead).UnixMilli():
+		m.unlistWorker(w, "entry names a start time in the future")
+		return
 	}
 	if info.Born != 0 && w.info.Born != info.Born && info.Born > w.info.Born {
 		m.startIncarnation(w, info.Born)
