--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -134,14 +134,14 @@
 	store := &cellstore.Store{}
 	n := newFollower(t, store)
 	go n.committer.run(ctx)
-	n.peerClients["10.0.0.2:7720"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
+	n.peerClients["10.0.0.2:1"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
 		appendJob(t, store, "a")
 		if err := n.jobsReader.readToEnd(ctx); err != nil {
 			t.Error(err)
 		}
 		return &cellpb.StateResponse{}
 	}}
-	n.setOwnerFromPeer(election.OwnerRecord{Term: 1, Node: "owner", Addr: "10.0.0.2:7720", Instance: "i"})
+	n.setOwnerFromPeer(election.OwnerRecord{Term: 1, Node: "owner", Addr: "10.0.0.2:1", Instance: "i"})
 	known, err := n.Cancel(ctx, "a")
 	is.NoErr(err)
 	is.True(known)
@@ -155,7 +155,7 @@
 	n := newVMBesideFollower(t, &cellstore.Store{}, newFollower(t, &cellstore.Store{}))
 	n.storeRouter.latency.Store(int64(storeLatency))
 	var given time.Duration
-	n.peerClients["10.0.0.2:7720"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
+	n.peerClients["10.0.0.2:1"] = askedPeer{answer: func(ctx context.Context) *cellpb.StateResponse {
 		deadline, _ := ctx.Deadline()
 		given = time.Until(deadline)
 		return &cellpb.StateResponse{Follows: true}
