Read the jobs at once as a new owner, and repeat reads of the list of workers in time

Change: the pause ends with the takeover; the first three of four attempts to read the list take at most 1.5 s.

--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -244,6 +244,8 @@
 // loop runs.
 func (c *controlLoop) loadState() {
 	c.node.setLoop(c)
+	// The pause between two reads of a follower is too long for an owner.
+	c.node.jobsReader.pollNow()
 	c.machine.Apply(eventTime(), owner.ConfigChanged{Config: c.node.config.Load()})
 	jobs := c.node.replica.unfinishedJobs(func(id cell.JobID, err error) {
 		c.log.Error("cannot decode job; it is not taken over", "id", string(id), "error", err.Error())
@@ -289,24 +291,47 @@
 	}
 }
 
+// firstListTimeout bounds the first attempts of a new owner to read the list of workers. An
+// attempt that began in an outage of the store is not answered after its end either, and the
+// owner places nothing without the list. listAttempts is the number of these attempts before one
+// that takes as long as a large list on a slow link may.
+const (
+	firstListTimeout = 1500 * time.Millisecond
+	listAttempts     = 3
+)
+
 // pollWorkers reads the workers' entries while this VM owns the cell.
 // runOwnership starts it on its own goroutine after the takeover; it ends with
 // the term.
 func (n *Node) pollWorkers(ctx context.Context, c *controlLoop) {
 	tracker := newWorkerTracker(ctx, n, c)
 	reader := tracker.reader
+	for attempt := 1; ctx.Err() == nil && !reader.isLoaded.Load(); attempt++ {
+		if err := tracker.load(ctx, attempt); err != nil {
+			sleep(ctx, readRetryInterval)
+		}
+	}
 	for ctx.Err() == nil {
-		wasLoaded := reader.isLoaded.Load()
 		_, err := reader.read(ctx, 0)
 		reader.logFailureChange(err)
-		if !wasLoaded && reader.isLoaded.Load() {
-			continue
-		}
 		sleep(ctx, workerListInterval)
 		tracker.postConfig(ctx)
 	}
 }
 
+// load makes one attempt to read the list of workers for the first time. pollWorkers calls it
+// until one succeeds.
+func (t *workerTracker) load(ctx context.Context, attempt int) error {
+	if attempt%(listAttempts+1) != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstListTimeout)
+		defer cancel()
+	}
+	_, err := t.reader.read(ctx, 0)
+	t.reader.logFailureChange(err)
+	return err
+}
+
 // workerTracker posts changes of the workers' entries and of the configuration
 // to the control loop.
 type workerTracker struct {
