Let only the last entry of a worker in one read count

Cause: a read that returned an odd or removed entry of a worker and then its valid one posted an event that lists and removes the worker. The state machine lists first and removes then, and the tracker did not post the worker's later entries, which were the same: the worker was not used again by this owner.

Change: of several records of a key in one read only the last one counts. TestLastEntryOfAReadCounts failed before: the event held the worker in both lists.

--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -257,3 +257,35 @@
 func (p cannedPeer) Hello(context.Context, *cellpb.HelloRequest) (*cellpb.HelloResponse, error) {
 	return p.reply, nil
 }
+
+// TestLastEntryOfAReadCounts guards against a worker that is not used any more because one read returned its entry after an odd or
+// removed one: its later entries are the same and are not posted.
+func TestLastEntryOfAReadCounts(t *testing.T) {
+	entry := func(addr string) string { return `{"ID":"w","Service":"s","Addr":"` + addr + `"}` }
+	for _, test := range []struct {
+		name            string
+		values          []string
+		listed, removed []string
+	}{
+		{"odd, then valid", []string{"odd", entry("a:1")}, nil, nil},
+		{"removed, then valid", []string{"", entry("a:1")}, nil, nil},
+		{"odd, then changed", []string{"odd", entry("a:2")}, []string{"w@a:2"}, nil},
+		{"valid, then odd", []string{entry("a:2"), "odd"}, nil, []string{"w"}},
+		{"valid, then removed", []string{entry("a:2"), ""}, nil, []string{"w"}},
+		{"odd, then valid, then odd", []string{"odd", entry("a:1"), "odd"}, nil, []string{"w"}},
+		{"two valid ones", []string{entry("a:2"), entry("a:3")}, []string{"w@a:3"}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEntries(t)
+			e.write("w", entry("a:1"))
+			e.read()
+			for _, value := range test.values {
+				e.write("w", value)
+			}
+			listed, removed := e.read()
+			is.Equal(listed, test.listed)
+			is.Equal(removed, test.removed)
+		})
+	}
+}
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -332,11 +332,12 @@
 }
 
 // applyRecords posts the entries that were added, changed or removed, as one
-// event. The topic reader of the workers' entries calls it after each read, on
+// event. Of several records of a key only the last one counts: the event does not tell the
+// order of its parts, and a worker that it lists and removes would be removed for good. The topic reader of the workers' entries calls it after each read, on
 // the goroutine of pollWorkers.
 func (t *workerTracker) applyRecords(ctx context.Context, records []cell.KeyValue) {
 	var ev owner.WorkersListed
-	for _, r := range records {
+	for _, r := range lastOfEachKey(records) {
 		_, wasUnnamed := t.unnamed[r.Key]
 		delete(t.unnamed, r.Key)
 		if len(r.Value) == 0 {
@@ -366,6 +367,21 @@
 	}
 }
 
+// lastOfEachKey returns the last record of each key, in the order of the records.
+func lastOfEachKey(records []cell.KeyValue) []cell.KeyValue {
+	last := make(map[string]int, len(records))
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	out := make([]cell.KeyValue, 0, len(last))
+	for i, r := range records {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // isNamed reports whether the configuration in force names a service, or an earlier one of this
 // term or a job that was taken over does.
 func (t *workerTracker) isNamed(config *cell.Config, service string) bool {
--- a/internal/soak/cancelbound.go
+++ b/internal/soak/cancelbound.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,11 +39,15 @@
 	kind       Kind
 }
 
+// keepsCalm lists the kinds that are no disruption by the platform's rules: the bound of
+// cancellations holds beside them too.
+var keepsCalm = []Kind{Publish, PublishSeries, FailingWorkers, OddEntries, ForeignEntries}
+
 // isCalm reports whether no fault was in force from contactBound before a time until another.
 func isCalm(faults []span, from, to time.Time) bool {
 	from = from.Add(-contactBound)
 	for _, f := range faults {
-		if f.begin.Before(to) && f.end.After(from) {
+		if f.begin.Before(to) && f.end.After(from) && !slices.Contains(keepsCalm, f.kind) {
 			return false
 		}
 	}
@@ -54,7 +59,9 @@
 func calmStretch(faults []span, from, now time.Time) (begin time.Time, ok bool) {
 	begins := []time.Time{from}
 	for _, f := range faults {
-		begins = append(begins, f.end.Add(contactBound))
+		if !slices.Contains(keepsCalm, f.kind) {
+			begins = append(begins, f.end.Add(contactBound))
+		}
 	}
 	for _, b := range begins {
 		end := b.Add(stopBound)
--- a/internal/soak/cancelbound_test.go
+++ b/internal/soak/cancelbound_test.go
@@ -20,6 +20,7 @@
 		start, end float64
 		isLate     bool
 		faults     [][2]float64
+		kind       Kind
 		applies    bool
 		tooLate    bool
 		runsOn     bool
@@ -38,6 +39,7 @@
 		{name: "goes on after a fault", start: 5, end: 18.3, faults: [][2]float64{{11, 12}}, applies: true, runsOn: true},
 		{name: "ends in time after a fault", start: 5, end: 18.1, faults: [][2]float64{{11, 12}}, applies: true},
 		{name: "never calm", start: 5, end: 21, faults: [][2]float64{{9, 12}, {18, 19}}},
+		{name: "goes on beside odd entries", start: 5, end: 13.3, faults: [][2]float64{{9, 20}}, kind: OddEntries, applies: true, runsOn: true},
 		{name: "starts too late near a fault", start: 14, end: 14.1, faults: [][2]float64{{11, 12}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -48,7 +50,7 @@
 			}
 			var faults []span
 			for _, f := range test.faults {
-				faults = append(faults, span{begin: at(f[0]), end: at(f[1])})
+				faults = append(faults, span{at(f[0]), at(f[1]), test.kind})
 			}
 			b := judgeRun(r, at(acknowledged), faults, at(now))
 			is.Equal(b.applies, test.applies)
--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -41,11 +41,11 @@
 	case entryUnchanged:
 		return nil
 	case entryRemoved:
-		return store.WriteWorkerValue(e.ID, nil)
+		return store.WriteEntry(e.ID, nil)
 	case entryNotJSON:
-		return store.WriteWorkerValue(e.ID, []byte(`{"Service":"soak","Address":`))
+		return store.WriteEntry(e.ID, []byte(`{"Service":"soak","Address":`))
 	case entryNested:
-		return store.WriteWorkerValue(e.ID, []byte(strings.Repeat("[", nestedLevels)+strings.Repeat("]", nestedLevels)))
+		return store.WriteEntry(e.ID, []byte(strings.Repeat("[", nestedLevels)+strings.Repeat("]", nestedLevels)))
 	case entryWithoutPort:
 		if ip, _, err := net.SplitHostPort(e.Addr); err == nil {
 			e.Addr = net.JoinHostPort(ip, "99999")
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -81,16 +81,12 @@
 	return s.WriteEntry(e.ID, value)
 }
 
-// WriteEntry writes an entry among those of the workers, as any writer may.
+// WriteEntry writes an entry among those of the workers, as any writer may. Without a value the
+// entry is removed.
 func (s *Server) WriteEntry(id string, value []byte) error {
 	return s.write(workersTopic, id, value)
 }
 
-// WriteWorkerValue writes any bytes as the entry of a worker; without any, the entry is removed.
-func (s *Server) WriteWorkerValue(id string, value []byte) error {
-	return s.write(workersTopic, id, value)
-}
-
 func (s *Server) write(topic cell.Topic, key string, value []byte) error {
 	_, err := s.Store.Append(context.Background(), cell.Append{Topic: topic, Records: []cell.KeyValue{{Key: key, Value: value}}, ExpectedEnd: -1})
 	return err
