Test hello messages of odd peers at an owner, and late starts before an acknowledgement

A review passed hello messages with odd addresses on to the control loop, and counted the bound of a late start from before the acknowledgement of the cancellation; no test failed.

--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -267,6 +267,8 @@
 	is := is.New(t)
 	n := New(Settings{Name: "vm", PeerAddr: "10.0.0.1:7720", CPUCores: 1}, Ports{Store: &cellstore.Store{}}, io.Discard)
 	n.holdsTerm.Store(true)
+	loop := newControlLoop(n, 1)
+	n.setLoop(loop)
 	for _, addr := range []string{"", ":1", "vm", "vm:1", "10.0.0.2", "10.0.0.2:0", "10.0.0.2:99999", "10.0.0.2:1@x:2", "a b:1"} {
 		resp, err := (&rpcServer{n}).Hello(context.Background(), &cellpb.HelloRequest{Name: "x", Addr: addr, StoreAnswers: true, Follows: true})
 		is.NoErr(err)
@@ -274,6 +276,7 @@
 	}
 	is.Equal(len(n.knownPeers()), 0)
 	is.Equal(len(n.storeProxyAddrs("")), 0)
+	is.Equal(len(loop.hellos), 0) // none is an advice proxy or a successor
 	reply := &cellpb.HelloResponse{Peers: []string{"", "vm:1", "10.0.0.2:7720"}, Relays: []string{"vm:1"}, Owner: &cellpb.Owner{Term: 9, Addr: "vm:1", Instance: "i"}}
 	_, err := n.sendHello(context.Background(), cannedPeer{reply: reply})
 	is.NoErr(err)
--- a/internal/soak/cancelbound_test.go
+++ b/internal/soak/cancelbound_test.go
@@ -33,6 +33,7 @@
 		{name: "starts too late and goes on", start: 13.3, end: 15, tooLate: true},
 		{name: "starts too late, carried out late", start: 13.3, end: 19.4, isLate: true, applies: true},
 		{name: "starts late and goes on", start: 13.3, end: 19.6, isLate: true, applies: true, runsOn: true},
+		{name: "starts late before the acknowledgement and ends in time", start: 2, end: 13.1, isLate: true, applies: true},
 		{name: "fault shortly before the acknowledgement", start: 5, end: 13.3, faults: [][2]float64{{6, 7.5}}, applies: true},
 		{name: "fault long before the acknowledgement", start: 5, end: 13.3, faults: [][2]float64{{6, 6.9}}, applies: true, runsOn: true},
 		{name: "goes on after a fault", start: 5, end: 18.3, faults: [][2]float64{{11, 12}}, applies: true, runsOn: true},
