Test the source of identities, unreadable items and cancellations of ended jobs

A review drew identities with ulid.Make again, took unreadable items for deletions, and recorded cancellations of ended jobs; no test failed. Result: the three new tests fail with these breaks and pass without them.

--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -164,3 +164,20 @@
 	is.NoErr(err)
 	is.True(given > storeLatency)
 }
+
+// TestCancellationOfAnEndedJobIsNotRecorded guards against records of cancellations that nothing
+// deletes: the job has ended, and its submission may be deleted already.
+func TestCancellationOfAnEndedJobIsNotRecorded(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := &cellstore.Store{}
+	appendJob(t, store, "a")
+	n := newFollower(t, store)
+	go n.committer.run(ctx)
+	n.replica.setState("a", cell.StateCompleted)
+	known, err := n.Cancel(ctx, "a")
+	is.NoErr(err)
+	is.True(known)
+	is.Equal(store.Len(cell.TopicJobs), int64(1)) // the submission
+}
--- a/internal/cell/node/oddentries_test.go
+++ b/internal/cell/node/oddentries_test.go
@@ -185,6 +185,31 @@
 	is.Equal(len(listed), 0)
 }
 
+// unreadableNewest is a store whose newest records but the first cannot be read.
+type unreadableNewest struct{ cell.Store }
+
+func (s unreadableNewest) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
+	batch, err := s.Store.Newest(ctx, topic)
+	batch.Unreadable = len(batch.Records) - 1
+	batch.Records = batch.Records[:1]
+	return batch, err
+}
+
+// TestUnreadableItemIsNoDeletion guards against workers that are removed since an item of the newest
+// records, which may be theirs, cannot be read.
+func TestUnreadableItemIsNoDeletion(t *testing.T) {
+	is := is.New(t)
+	e := newEntries(t)
+	e.write("a", `{"ID":"a","Service":"s","Addr":"10.0.0.1:1"}`)
+	e.write("b", `{"ID":"b","Service":"s","Addr":"10.0.0.2:1"}`)
+	e.read()
+	e.tracker.reader.store = unreadableNewest{e.store}
+	e.tracker.reader.isLoaded.Store(false)
+	_, removed := e.read()
+	is.Equal(len(removed), 0)
+	is.Equal(len(e.tracker.workers), 2)
+}
+
 // TestWorkersOfADroppedServiceServeAcceptedJobs guards against jobs that are accepted and never
 // run: their configuration named the service, and a later one dropped it with the last route.
 func TestWorkersOfADroppedServiceServeAcceptedJobs(t *testing.T) {
--- a/internal/uniqueid/uniqueid_test.go
+++ b/internal/uniqueid/uniqueid_test.go
@@ -1,6 +1,8 @@
 package uniqueid
 
 import (
+	"bytes"
+	"crypto/rand"
 	"testing"
 
 	"github.com/matryer/is"
@@ -20,3 +22,16 @@
 		seen[random] = true
 	}
 }
+
+// TestRandomBitsComeFromTheOperatingSystem guards against a generator that is seeded with the time of day:
+// two processes that started at the same moment had one identity, and both owned one term (issue 28).
+func TestRandomBitsComeFromTheOperatingSystem(t *testing.T) {
+	is := is.New(t)
+	system := rand.Reader
+	defer func() { rand.Reader = system }()
+	bits := []byte("ten bytes.")
+	rand.Reader = bytes.NewReader(bits)
+	id, err := ulid.ParseStrict(New())
+	is.NoErr(err)
+	is.Equal(id.Entropy(), bits)
+}
