--- a/internal/cell/node/cancel_test.go
+++ b/internal/cell/node/cancel_test.go
@@ -181,3 +181,19 @@
 	is.True(known)
 	is.Equal(store.Len(cell.TopicJobs), int64(1)) // the submission
 }
+
+// TestCancellationIsTakenOver guards against a cancelled job that runs on because its cancellation was
+// recorded while nobody owned the cell: the new owner reads it with the job.
+func TestCancellationIsTakenOver(t *testing.T) {
+	is := is.New(t)
+	n := New(Settings{Name: "vm", PeerAddr: "vm:1", CPUCores: 1}, Ports{Store: &cellstore.Store{}}, io.Discard)
+	n.applyJobRecords([]cell.KeyValue{recordOf(t, "a"), {Key: cell.CancelKey("a"), Value: []byte{'1'}}})
+	loop := newControlLoop(n, 1)
+	loop.loadState()
+	records, _, err := loop.machine.TakeBatch()
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	progress, err := cell.DecodeProgress(records[0].Value)
+	is.NoErr(err)
+	is.Equal(progress.State, cell.StateCancelled)
+}
