--- a/internal/cell/node/storeproxyserver.go
+++ b/internal/cell/node/storeproxyserver.go
@@ -105,5 +105,5 @@
 	// A text of an RPC must be valid UTF-8. Other writers may use any bytes as a key; none of
 	// ours and no id of a worker is such a key.
 	records := slices.DeleteFunc(slices.Clone(batch.Records), func(r cell.KeyValue) bool { return !utf8.ValidString(r.Key) })
-	return &cellpb.BatchResponse{Outcome: outcome, Records: recordsToProto(records), Next: batch.Next, End: batch.End}
+	return &cellpb.BatchResponse{Outcome: outcome, Records: recordsToProto(records), Next: batch.Next, End: batch.End, Unreadable: int32(batch.Unreadable)}
 }
--- a/internal/cell/node/storerouter.go
+++ b/internal/cell/node/storerouter.go
@@ -365,6 +365,6 @@
 		return timedAnswer[cell.Batch]{}, err
 	}
 	resp := r.value
-	batch := cell.Batch{Records: recordsFromProto(resp.Records), Next: resp.Next, End: resp.End}
+	batch := cell.Batch{Records: recordsFromProto(resp.Records), Next: resp.Next, End: resp.End, Unreadable: int(resp.Unreadable)}
 	return timedAnswer[cell.Batch]{batch, r.took}, errorFromOutcome(resp.Outcome, resp.End)
 }
--- a/internal/cell/node/storerouter_test.go
+++ b/internal/cell/node/storerouter_test.go
@@ -111,6 +111,24 @@
 	is.Equal(keysOf(r.Newest(ctx, cell.TopicWorkers)), []string{"a", "b"})
 }
 
+// TestProxyReportsUnreadableRecords guards against workers and jobs that count as deleted on a VM
+// without a direct route, since a record that cannot be read, which may be theirs, is missing.
+func TestProxyReportsUnreadableRecords(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &cellstore.Store{}
+	for _, key := range []string{"a", "b", "c"} {
+		_, err := store.Append(ctx, cell.Append{Topic: cell.TopicWorkers, ExpectedEnd: -1, Records: []cell.KeyValue{{Key: key, Value: []byte("v")}}})
+		is.NoErr(err)
+	}
+	r := newRouter(unreachableStore{store}, proxyOverHTTP(t, unreadableNewest{store}))
+	r.unreachableSince.Store(1)
+	batch, err := r.Newest(ctx, cell.TopicWorkers)
+	is.NoErr(err)
+	is.Equal(len(batch.Records), 1)
+	is.Equal(batch.Unreadable, 2)
+}
+
 // TestStoreUnreachableFromAllVMs guards the error cell.ErrNotExecuted when the
 // store answers no VM: proxies do not forward calls to other proxies.
 func TestStoreUnreachableFromAllVMs(t *testing.T) {
