--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -359,9 +359,10 @@
 }
 
 // applyRecords posts the entries that were added, changed or removed, as one
-// event. Of several records of a key only the last one counts: the event does not tell the
-// order of its parts, and a worker that it lists and removes would be removed for good. The topic reader of the workers' entries calls it after each read, on
-// the goroutine of pollWorkers.
+// event. Of several records of a key only the last one counts: the event does not
+// tell the order of its parts, and a worker that it lists and removes would be
+// removed for good. The topic reader of the workers' entries calls it after each
+// read, on the goroutine of pollWorkers.
 func (t *workerTracker) applyRecords(ctx context.Context, records []cell.KeyValue) {
 	var ev owner.WorkersListed
 	for _, r := range lastOfEachKey(records) {
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -131,8 +131,8 @@
 }
 
 // unlistWorker ends the use of a worker for new tasks. Its runs are renewed and stopped at its
-// last address. updateWorkers calls it for each removed entry, updateWorker for one that cannot be that of the
-// worker.
+// last address. updateWorkers calls it for each removed entry, updateWorker for one that cannot
+// be that of the worker.
 func (m *Machine) unlistWorker(w *worker, reason string) {
 	if !w.isListed {
 		return
