--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of review/ start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -tags review -o target/review-stand ./review/stand
