--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of review/ start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-stand ./review/stand
+go build -buildvcs=false -tags review -o target/review-stand ./review/stand
