--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -289,6 +289,8 @@
 			return
 		}
 		if r.mustResend {
+			m.logDecision(r.taskName, "start request is sent again", "run", r.number, "worker", r.worker.info.ID,
+				"has_restarted", r.hasMoved, "failed_renewals", r.worker.failedRenewals, "draining", r.worker.info.Draining)
 			m.sendStart(r)
 		}
 	case phaseStopping:
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -179,6 +179,10 @@
 	if info.Draining && !w.info.Draining {
 		m.logDecision(info.ID, "worker is draining", "open_runs", len(w.runs), "remaining_ms", info.Remaining.Milliseconds())
 	}
+	if w.incarnation > 0 && !slices.Equal(info.Labels, w.info.Labels) {
+		m.logDecision(info.ID, "entry of a restarted worker has other labels", "labels", info.Labels, "former_labels", w.info.Labels,
+			"after_ms", (m.now.Mono - w.incarnationSeenAt).Milliseconds())
+	}
 	startedAt := w.info.Born
 	w.info = info
 	w.info.Born = startedAt
@@ -196,7 +200,7 @@
 // decides.
 func (m *Machine) startIncarnation(w *worker, startedAt int64) {
 	if w.info.Born != 0 {
-		m.logDecision(w.info.ID, "worker has restarted", "open_runs", len(w.runs), "born", startedAt)
+		m.logDecision(w.info.ID, "worker has restarted", "open_runs", len(w.runs), "born", startedAt, "known_labels", w.info.Labels)
 	}
 	w.incarnation++
 	w.incarnationSeenAt = m.now.Mono
@@ -371,7 +375,8 @@
 			r.phase = phaseRunning // also of a run whose gang was expected to end
 			m.stopWithGang(r, "member not listed after a restart")
 		default:
-			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase))
+			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase),
+				"listed_active", len(inv.ActiveRuns), "listed_finished", len(inv.FinishedRuns), "recorded_cursor", w.recordedCursor)
 			m.closeRun(r, "not listed")
 		}
 	}
