--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -335,6 +335,10 @@
 	Born         int64
 	ActiveRuns   []ActiveRun
 	FinishedRuns []FinishedRun
+	// MayHaveMoreFinished is true if FinishedRuns may be incomplete: a worker lists a
+	// bounded number of finished runs, and the next ones once these are acknowledged. A run
+	// that such an inventory does not list may have finished.
+	MayHaveMoreFinished bool
 }
 
 // Worker is the entry that a worker writes about itself to the store.
--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -182,14 +182,14 @@
 	}
 }
 
-// isStuck reports whether a run is stuck: it is running and its worker has listed
+// isStuck reports whether a run is stuck: it is listed as active, and its worker has listed
 // the same progress for minStuckTimeout or, if longer, stuckRunTimeFraction of the
 // step's expected run time, on the worker's clock. Runs of long-running tasks, runs at
 // maxProgressPercent and runs without a step are never stuck. Members of a gang make
 // progress only while all of them run, so the time of a gang begins with its last
 // member. stopStuckRuns calls it for each run of a worker.
 func (m *Machine) isStuck(r *run) bool {
-	if r.phase != phaseRunning || r.step == nil || r.step.def.LongRunning || r.progressPercent >= maxProgressPercent {
+	if r.phase != phaseRunning || !r.isListedActive || r.step == nil || r.step.def.LongRunning || r.progressPercent >= maxProgressPercent {
 		return false
 	}
 	limit := max(minStuckTimeout, time.Duration(stuckRunTimeFraction*float64(m.expectedRunTime(r.job, r.id.Step))))
--- a/internal/cell/owner/renewals.go
+++ b/internal/cell/owner/renewals.go
@@ -98,10 +98,10 @@
 const maxRecordDelay = 700 * time.Millisecond
 
 // renewalPollTimeout returns how long a worker may delay its answer to a
-// renewal; 0 if the state of the worker or of a run is uncertain. renewIfDue
-// calls it for each renewal.
+// renewal; 0 if the state of the worker or of a run is uncertain, or if finished runs may
+// wait to be listed. renewIfDue calls it for each renewal.
 func (m *Machine) renewalPollTimeout(w *worker) time.Duration {
-	if !w.hasAnswered || w.failedRenewals > 0 || w.processedCursor > w.recordedCursor {
+	if !w.hasAnswered || w.mayHaveMoreFinished || w.failedRenewals > 0 || w.processedCursor > w.recordedCursor {
 		return 0
 	}
 	for _, r := range w.runList {
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -45,7 +45,10 @@
 	workerStartedAt int64
 	// listedBy is the start time of the incarnation whose inventory last listed
 	// the run as active, or 0.
-	listedBy  int64
+	listedBy int64
+	// isListedActive is true if the last inventory of the worker lists the run as active.
+	isListedActive bool
+
 	allocated structs.Resources
 	phase     phase
 	ticket    string
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -195,7 +195,9 @@
 	closedRuns         map[string]int
 	finishedRuns       []cell.FinishedRun
 	lastFinishedNumber int64
-	incarnation        int
+	// maxListedFinished is how many finished runs the worker lists at a time.
+	maxListedFinished int
+	incarnation       int
 	// endedAt is when the finished runs ended, by number; lapsedAt is the last time at
 	// which the lease was over.
 	endedAt  map[int64]time.Duration
@@ -221,6 +223,8 @@
 			Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000},
 			Labels:   []string{"k", fmt.Sprintf("r%d", i/3)},
 		}, runs: map[string]*simRun{}, closedRuns: map[string]int{}, clockRate: 1, endedAt: map[int64]time.Duration{}}
+		// Every other worker lists few, so that many of its answers are incomplete.
+		s.workers[id].maxListedFinished = []int{500, 2}[i%2]
 		if faults.slowClocks {
 			s.workers[id].clockRate = minClockRate + (1-minClockRate)*s.rand.Float64()
 		}
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -254,7 +254,8 @@
 	for _, run := range sortedRuns(w) {
 		inv.ActiveRuns = append(inv.ActiveRuns, cell.ActiveRun{Task: run.task, Run: run.run, Percent: w.sim.percent()})
 	}
-	inv.FinishedRuns = append(inv.FinishedRuns, w.finishedRuns...)
+	inv.FinishedRuns = append(inv.FinishedRuns, w.finishedRuns[:min(len(w.finishedRuns), w.maxListedFinished)]...)
+	inv.MayHaveMoreFinished = len(inv.FinishedRuns) == w.maxListedFinished
 	return inv, cell.RefusedNone
 }
 
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -53,6 +53,8 @@
 	recordedCursor  int64
 	acceptedCursor  int64
 	cursorInFlight  int64
+	// mayHaveMoreFinished is true if the last inventory may lack finished runs.
+	mayHaveMoreFinished bool
 
 	runs map[runKey]*run
 	// runList holds the runs in the order in which they were opened.
@@ -343,15 +345,28 @@
 // Then it sets paces and stops stuck runs. handleRenewal calls it for each
 // inventory.
 func (m *Machine) reconcile(w *worker, sentAt time.Duration, inv cell.Inventory) {
+	m.updateActiveRuns(w, inv.ActiveRuns)
+	m.processFinishedRuns(w, inv.FinishedRuns)
+	w.mayHaveMoreFinished = inv.MayHaveMoreFinished
+	m.closeUnlistedRuns(w, sentAt, inv)
+	if len(m.dirtyJobs) == 0 && len(m.pendingBatches) == 0 {
+		w.recordedCursor = w.processedCursor
+	}
+	m.adjustPaces(w)
+	m.stopStuckRuns(w)
+}
+
+// updateActiveRuns updates the open runs that an inventory lists as active, and stops runs
+// that the owner does not know. reconcile calls it.
+func (m *Machine) updateActiveRuns(w *worker, listed []cell.ActiveRun) {
 	w.unknownRuns = 0
-	defer m.stopStuckRuns(w)
-	defer m.adjustPaces(w)
-	listed := make(map[runKey]bool, len(inv.ActiveRuns)+len(inv.FinishedRuns))
-	for _, active := range inv.ActiveRuns {
-		key := runKey{active.Task, active.Run}
-		listed[key] = true
-		if r, ok := w.runs[key]; ok {
+	for _, r := range w.runList {
+		r.isListedActive = false
+	}
+	for _, active := range listed {
+		if r, ok := w.runs[runKey{active.Task, active.Run}]; ok {
 			r.listedBy = w.info.Born
+			r.isListedActive = true
 			m.updateListedRun(r, active)
 			continue
 		}
@@ -359,28 +374,42 @@
 		m.logDecision(active.Task, "unknown run is stopped", "run", active.Run, "worker", w.info.ID)
 		m.emit(SendStop{Stop: cell.Stop{Task: active.Task, Run: active.Run, Worker: w.info.ID, Addr: w.info.Addr, Token: m.opts.Term}})
 	}
-	for _, finished := range inv.FinishedRuns {
-		listed[runKey{finished.Task, finished.Run}] = true
+}
+
+// processFinishedRuns processes the finished runs of an inventory that have not been processed
+// before. reconcile calls it.
+func (m *Machine) processFinishedRuns(w *worker, listed []cell.FinishedRun) {
+	for _, finished := range listed {
 		if finished.Number <= w.processedCursor {
 			continue
 		}
 		w.processedCursor = finished.Number
 		m.handleFinishedRun(w, finished)
 	}
+}
+
+// closeUnlistedRuns closes the open runs that would be listed if they existed. It closes
+// none if the worker may have finished runs that the inventory does not list: such a run
+// would start again although it is done. Those are listed once the ones before them are
+// acknowledged. reconcile calls it.
+func (m *Machine) closeUnlistedRuns(w *worker, sentAt time.Duration, inv cell.Inventory) {
+	if inv.MayHaveMoreFinished {
+		return
+	}
+	isFinished := make(map[runKey]bool, len(inv.FinishedRuns))
+	for _, finished := range inv.FinishedRuns {
+		isFinished[runKey{finished.Task, finished.Run}] = true
+	}
 	for _, r := range slices.Clone(w.runList) {
-		key := runKey{r.taskName, r.number}
 		switch {
-		case listed[key] || !r.mustBeListed(sentAt):
+		case r.isListedActive || isFinished[runKey{r.taskName, r.number}] || !r.mustBeListed(sentAt):
 		case r.mayStartLate():
 			r.phase = phaseRunning // also of a run whose gang was expected to end
 			m.stopWithGang(r, "member not listed after a restart")
 		default:
-			m.logDecision(key.task, "run is not on its worker", "run", key.number, "worker", w.info.ID, "phase", int(r.phase),
+			m.logDecision(r.taskName, "run is not on its worker", "run", r.number, "worker", w.info.ID, "phase", int(r.phase),
 				"listed_active", len(inv.ActiveRuns), "listed_finished", len(inv.FinishedRuns), "recorded_cursor", w.recordedCursor)
 			m.closeRun(r, "not listed")
 		}
 	}
-	if len(m.dirtyJobs) == 0 && len(m.pendingBatches) == 0 {
-		w.recordedCursor = w.processedCursor
-	}
 }
