--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -11,7 +11,12 @@
 
 // worker is a worker and the runs that may exist on it.
 type worker struct {
+	// info describes the worker: what the last entry of its latest known incarnation says.
+	// Until that entry is read, all but Born is what is known of the incarnation before.
 	info cell.Worker
+	// entry is the last entry that was read. It may be that of an earlier incarnation, or of
+	// one that has not answered yet; see isDescribed.
+	entry cell.Worker
 	// isListed is false for a worker that the store does not list.
 	isListed bool
 	// hasAnswered is true once this incarnation of the worker has answered this
@@ -156,7 +161,8 @@
 const maxClockAhead = time.Minute
 
 // updateWorker adds a worker or updates it from its changed entry. An entry
-// with a later start time shows that the worker has restarted. updateWorkers
+// with a later start time shows that the worker has restarted. Any other entry than
+// that of the latest known incarnation leaves the description as it is. updateWorkers
 // calls it for each entry.
 func (m *Machine) updateWorker(info cell.Worker) {
 	w, ok := m.workers[info.ID]
@@ -172,24 +178,46 @@
 		m.unlistWorker(w, "entry names a start time in the future")
 		return
 	}
-	if info.Born != 0 && w.info.Born != info.Born && info.Born > w.info.Born {
+	if info.Born > w.info.Born {
 		m.startIncarnation(w, info.Born)
 	}
+	if w.incarnation > 0 && info.Born != w.entry.Born {
+		m.logDecision(info.ID, "entry of a restarted worker is read", "born", info.Born, "known_born", w.info.Born,
+			"labels", info.Labels, "known_labels", w.info.Labels, "after_ms", (m.now.Mono - w.incarnationSeenAt).Milliseconds())
+	}
 	if !w.isListed {
 		w.nextRenewalAt = m.now.Mono
 	}
-	if info.Draining && !w.info.Draining {
-		m.logDecision(info.ID, "worker is draining", "open_runs", len(w.runs), "remaining_ms", info.Remaining.Milliseconds())
-	}
-	if w.incarnation > 0 && !slices.Equal(info.Labels, w.info.Labels) {
-		m.logDecision(info.ID, "entry of a restarted worker has other labels", "labels", info.Labels, "former_labels", w.info.Labels,
-			"after_ms", (m.now.Mono - w.incarnationSeenAt).Milliseconds())
-	}
-	startedAt := w.info.Born
-	w.info = info
-	w.info.Born = startedAt
 	w.isListed = true
+	w.entry = info
 	m.isCycleNeeded = true
+	if w.isDescribed() {
+		m.applyEntry(w)
+	}
+}
+
+// applyEntry takes the description of a worker from the entry of its latest known incarnation.
+// updateWorker calls it for such an entry, startIncarnation if the entry was read before the
+// incarnation became known.
+func (m *Machine) applyEntry(w *worker) {
+	if w.entry.Draining && !w.info.Draining {
+		m.logDecision(w.info.ID, "worker is draining", "open_runs", len(w.runs), "remaining_ms", w.entry.Remaining.Milliseconds())
+	}
+	w.info = w.entry
+}
+
+// isDescribed reports whether the last entry of a worker is that of its latest known
+// incarnation. An incarnation may have other labels and another capacity than the one before.
+func (w *worker) isDescribed() bool { return w.isListed && w.entry.Born == w.info.Born }
+
+// useEarlierEntry assumes that a worker without runs that does not answer has been replaced by
+// the process of its last entry, although that has an earlier start time: the time of day may
+// have been set back between the two. tickWorker calls it.
+func (m *Machine) useEarlierEntry(w *worker) {
+	isSilent := w.failedRenewals >= silentRenewals || w.info.Addr == ""
+	if w.isListed && w.entry.Born != 0 && w.entry.Born < w.info.Born && len(w.runs) == 0 && isSilent {
+		m.startIncarnation(w, w.entry.Born)
+	}
 }
 
 // startIncarnation resets a worker that has restarted. It runs when the
@@ -217,6 +245,9 @@
 	for _, r := range slices.Clone(w.runList) {
 		m.moveToIncarnation(r, startedAt)
 	}
+	if w.isDescribed() {
+		m.applyEntry(w)
+	}
 }
 
 // moveToIncarnation decides what becomes of an open run when its worker has
@@ -271,10 +302,17 @@
 	return m.now.Mono-w.lastSeen > m.pollTimeout(idlePollTimeout)+renewalResponseTimeout
 }
 
+// isCurrent reports whether the description of a worker is that of the process that
+// answers now: the worker answers renewals, which show its start time, and the entry of
+// this incarnation has been read.
+func (m *Machine) isCurrent(w *worker) bool {
+	return w.isDescribed() && w.hasAnswered && w.failedRenewals == 0 && !m.isUnresponsive(w)
+}
+
 // isUsable reports whether a worker may get new tasks.
 func (m *Machine) isUsable(w *worker) bool {
-	return w.isListed && w.hasAnswered && !w.info.Draining && w.unknownRuns == 0 &&
-		w.failedRenewals == 0 && !w.isLeaseStated && !m.isUnresponsive(w) && m.now.Mono >= w.backoffUntil
+	return m.isCurrent(w) && !w.info.Draining && w.unknownRuns == 0 &&
+		!w.isLeaseStated && m.now.Mono >= w.backoffUntil
 }
 
 // estimatedClock estimates the present reading of a worker's clock.
@@ -299,12 +337,13 @@
 }
 
 // tickWorker does everything that is due for a worker: it closes the runs of
-// an expired lease, sends the next renewal, repeats unanswered requests and
+// an expired lease, uses an earlier entry if the worker is gone, sends the next renewal, repeats unanswered requests and
 // removes an unused worker. It runs for every worker on each Tick.
 func (m *Machine) tickWorker(w *worker) {
 	if len(w.runs) > 0 && w.failedRenewals > 0 || !w.hasAnswered {
 		m.closeExpiredRuns(w)
 	}
+	m.useEarlierEntry(w)
 	m.renewIfDue(w)
 	m.resendRequests(w)
 	m.removeWorkerIfUnused(w)
