--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -277,7 +277,7 @@
 	return s.tasks[index].checkpoint
 }
 
-// resendRequest repeats a start request whose call failed, and sends stop
+// resendRequest repeats a start request whose call failed (resendStart), and sends stop
 // requests until the run is closed. stopRun calls it for the first stop
 // request, and each Tick calls it for every open run. A gang with a member
 // that did not start within half of GangTimeout is stopped instead.
@@ -292,9 +292,7 @@
 			return
 		}
 		if r.mustResend {
-			m.logDecision(r.taskName, "start request is sent again", "run", r.number, "worker", r.worker.info.ID,
-				"has_restarted", r.hasMoved, "failed_renewals", r.worker.failedRenewals, "draining", r.worker.info.Draining)
-			m.sendStart(r)
+			m.resendStart(r)
 		}
 	case phaseStopping:
 		r.isRequestInFlight = true
@@ -303,6 +301,46 @@
 	}
 }
 
+// resendStart repeats a start request that got no answer. Since the run was planned, its worker
+// may have restarted as another kind, or may leave. While that is not known, the request waits;
+// a run that would not be planned there any more is stopped, since the worker may still carry
+// out the earlier request. resendRequest calls it.
+func (m *Machine) resendStart(r *run) {
+	w := r.worker
+	if w.isListed && !m.isCurrent(w) {
+		return
+	}
+	if reason := m.reasonNotToResend(r); reason != "" {
+		m.logDecision(r.taskName, "start request is not sent again", "run", r.number, "worker", w.info.ID, "reason", reason)
+		m.stopWithGang(r, "start of a member is given up")
+		return
+	}
+	m.logDecision(r.taskName, "start request is sent again", "run", r.number, "worker", w.info.ID, "has_restarted", r.hasMoved)
+	m.sendStart(r)
+}
+
+// reasonNotToResend returns why a run would not be planned on its worker any more, or "".
+// resendStart calls it; if the worker is listed, its description is that of the present process.
+func (m *Machine) reasonNotToResend(r *run) string {
+	w := r.worker
+	switch {
+	case !w.isListed:
+		return "worker is not listed"
+	case w.info.Draining:
+		return "worker is draining"
+	case r.hasMoved && r.ticket != "":
+		return "ticket is that of a former process of the worker"
+	case w.info.Service != m.currentQueue(r.job).Service:
+		return "worker is of another service"
+	case !w.info.HasLabel(r.step.def.Label):
+		return "worker does not have the label"
+	case !w.used.Fits(w.info.Capacity):
+		return "worker has too little capacity"
+	default:
+		return ""
+	}
+}
+
 // handleStartResponse processes a StartResult: a confirmation, a refusal, or
 // a failed call, which resendRequest repeats.
 func (m *Machine) handleStartResponse(e StartResult) {
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -32,6 +32,10 @@
 	simFirst = flag.Int("sim.first", 0, "first seed of the simulation of faults")
 )
 
+// simKinds are the kinds of the workers, which are their first label. All workers are of the
+// first kind at the beginning.
+var simKinds = []string{"k", "l"}
+
 var errNoAnswer = errors.New("no answer")
 
 type simEvent struct {
@@ -195,6 +199,8 @@
 	closedRuns         map[string]int
 	finishedRuns       []cell.FinishedRun
 	lastFinishedNumber int64
+	// changesKind is true if each incarnation is of another kind than the one before.
+	changesKind bool
 	// maxListedFinished is how many finished runs the worker lists at a time.
 	maxListedFinished int
 	incarnation       int
@@ -221,8 +227,9 @@
 		s.workers[id] = &simWorker{sim: s, isUp: true, startedAt: 0, info: cell.Worker{
 			ID: id, Service: "desk", Addr: id, DataCentre: "a", Born: 1,
 			Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000},
-			Labels:   []string{"k", fmt.Sprintf("r%d", i/3)},
+			Labels:   []string{simKinds[0], fmt.Sprintf("r%d", i/3)},
 		}, runs: map[string]*simRun{}, closedRuns: map[string]int{}, clockRate: 1, endedAt: map[int64]time.Duration{}}
+		s.workers[id].changesKind = i%2 == 1
 		// Every other worker lists few, so that many of its answers are incomplete.
 		s.workers[id].maxListedFinished = []int{500, 2}[i%2]
 		if faults.slowClocks {
@@ -499,7 +506,11 @@
 	w := o.sim.workers[req.Worker]
 	var refusal cell.Refusal
 	var clock time.Duration
+	knownBorn := o.machine.workers[req.Worker].info.Born
 	o.sendRequest(w, func() {
+		if knownBorn == w.info.Born {
+			o.sim.checkLabel(w, req)
+		}
 		r := w.start(req)
 		refusal, clock = r, w.clock()
 	}, func(err error) {
@@ -611,6 +622,10 @@
 		if s.rand.Float64() < 0.3 && !step.Gang {
 			step.MaxPerWorker = 2
 		}
+		if q.Advice == nil && i%2 == 0 {
+			// Workers of the first kind that are not eligible could be too few for others.
+			step.Label = simKinds[0]
+		}
 		if k > 0 {
 			step.DependsOn = []int{0}
 		}
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// checkLabel checks at a start that a worker has the label that the step requires. The owner
+// knows of this incarnation of the worker.
+func (s *sim) checkLabel(w *simWorker, req cell.Start) {
+	step := &s.jobs[req.Task.Job].def.Steps[req.Task.Step]
+	if _, isRunning := w.runs[req.Task.String()]; !isRunning && !w.info.HasLabel(step.Label) {
+		s.t.Fatalf("%v task %s starts on worker %s, which does not have label %s", s.now, req.Task, w.info.ID, step.Label)
+	}
+}
+
 // scheduleGangEnd schedules the end of a gang's run once all its members are
 // running.
 func (s *sim) scheduleGangEnd(j *simJob, id cell.StepID, run int, runTime time.Duration) {
@@ -344,6 +353,9 @@
 		w.isUp = true
 		w.startedAt = s.now
 		w.info.Born++
+		if w.changesKind {
+			w.info.Labels = []string{simKinds[w.info.Born%2^1], w.info.Rack()}
+		}
 		w.isUnlisted, w.isUnnamed = false, false
 		s.after(listDelay, func() { s.owner.apply(WorkersListed{Workers: []cell.Worker{w.info}}) })
 	})
