--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -56,6 +56,9 @@
 	ticketExpiresAt time.Duration
 
 	isRequestInFlight bool
+	// requestBorn is the start time of the worker's process that the owner knew when it
+	// sent the last request about the run.
+	requestBorn int64
 	// hasUnansweredStart is true once a start request got no answer; the worker
 	// may still carry it out.
 	hasUnansweredStart bool
@@ -254,6 +257,7 @@
 func (m *Machine) sendStart(r *run) {
 	w := r.worker
 	r.isRequestInFlight = true
+	r.requestBorn = w.info.Born
 	r.mustResend = false
 	m.emit(SendStart{Start: cell.Start{
 		Task:       r.id,
@@ -296,6 +300,7 @@
 		}
 	case phaseStopping:
 		r.isRequestInFlight = true
+		r.requestBorn = r.worker.info.Born
 		r.nextSendAt = m.now.Mono + stopRetryInterval
 		m.emit(SendStop{Stop: cell.Stop{Task: r.taskName, Run: r.number, Worker: r.worker.info.ID, Addr: r.worker.info.Addr, Token: m.opts.Term}})
 	}
@@ -353,7 +358,10 @@
 		return
 	}
 	r.isRequestInFlight = false
-	if e.Err != nil {
+	// A confirmation by a former process of the worker, which may be processed after an answer
+	// of the next one, says nothing about the next one, neither does its clock.
+	isOfFormerProcess := e.Refusal == cell.RefusedNone && r.requestBorn != w.info.Born
+	if e.Err != nil || isOfFormerProcess {
 		r.mustResend = true
 		// A request that was not sent cannot be carried out later.
 		r.hasUnansweredStart = r.hasUnansweredStart || !errors.Is(e.Err, cell.ErrPermitExpired)
@@ -460,6 +468,9 @@
 		r.nextSendAt = m.now.Mono + requestRetryInterval
 	case e.Refusal == cell.RefusedIncarnation:
 		m.closeRun(r, "lost: worker has restarted")
+	case r.requestBorn != w.info.Born:
+		// A former process may have answered; the next one has to be told to stop the run too.
+		r.nextSendAt = m.now.Mono
 	case e.Refusal == cell.RefusedNone && !r.isStopAcknowledged:
 		// The answers to repeated stop requests change nothing: a renewal sent
 		// after the first answer lists the run if it exists.
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -264,6 +264,7 @@
 	}
 	r.workerStartedAt = startedAt
 	r.isStopAcknowledged = false
+	r.pacePercent = -1
 	r.hasMoved = true
 	if hasEnded && r.phase != phaseStopping {
 		// The new incarnation may still carry out the start request without an answer.
