--- a/internal/cell/owner/incompletelist_test.go
+++ b/internal/cell/owner/incompletelist_test.go
@@ -105,3 +105,14 @@
 	f.answerIncompletely(finishedRun(1, "j.0.0.0", cell.OutcomeDone))
 	is.Equal(len(actionsOf[SendStop](f)), 0)
 }
+
+// TestOrderOfFinishedRunsDoesNotMatter guards against an end that is acknowledged and not processed: the list was read as if it
+// were in the order of the numbers.
+func TestOrderOfFinishedRunsDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	startTwoTasks(f, newStep(2, 500))
+	f.finishedRuns = []cell.FinishedRun{finishedRun(2, "j.0.0.1", cell.OutcomeDone), finishedRun(1, "j.0.0.0", cell.OutcomeDone)}
+	f.answerRenewal()
+	is.Equal(f.m.jobs["j"].state, cell.StateCompleted)
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -417,13 +417,14 @@
 }
 
 // processFinishedRuns processes the finished runs of an inventory that have not been processed
-// before. reconcile calls it.
+// before. Their order in the list is not specified. reconcile calls it.
 func (m *Machine) processFinishedRuns(w *worker, listed []cell.FinishedRun) {
+	before := w.processedCursor
 	for _, finished := range listed {
-		if finished.Number <= w.processedCursor {
+		if finished.Number <= before {
 			continue
 		}
-		w.processedCursor = finished.Number
+		w.processedCursor = max(w.processedCursor, finished.Number)
 		m.handleFinishedRun(w, finished)
 	}
 }
