--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -11,6 +11,8 @@
 // adviceState is what the owner knows about the workers that may run a step.
 type adviceState struct {
 	queriesInFlight int
+	// queriedAt is when the present round of queries began.
+	queriedAt time.Duration
 	// unqueriedWorkers are the workers of the present round of queries that are not
 	// queried yet, since too few advice proxies were free; querySize is the number of
 	// workers per query of the round.
@@ -253,7 +255,8 @@
 			newlyEligible++
 		}
 		a.eligibleByWorker[t.Worker] = true
-		if w, ok := m.workers[t.Worker]; ok {
+		// A ticket is valid during one life of a worker, and does not say which.
+		if w, ok := m.workers[t.Worker]; ok && w.isSameSince(a.queriedAt) {
 			a.putTicket(ticket{worker: w, text: t.Ticket, expiresAt: m.now.Mono - e.Age + validity, workerStartedAt: w.info.Born})
 		}
 	}
@@ -292,6 +295,7 @@
 	a.querySize = m.querySize(a, q, len(candidates.workerIDs))
 	a.unqueriedWorkers = candidates.workerIDs
 	a.rounds++
+	a.queriedAt = m.now.Mono
 	m.sendQueries(s, q)
 }
 
--- a/internal/cell/owner/advice_test.go
+++ b/internal/cell/owner/advice_test.go
@@ -155,3 +155,31 @@
 	}
 	is.True(len(first[0].Workers)+len(rest[0].Workers) >= maxQueryWorkers+queryWorkers)
 }
+
+// TestTicketOfAFormerProcessIsNotUsed guards against starts that a worker refuses: a ticket that was given before the
+// worker restarted was taken for one of its next process, since the answer came after the restart was seen.
+func TestTicketOfAFormerProcessIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	f := newAdviceFixture(t, 1)
+	f.apply(JobSubmitted{Job: newJob("j", newStep(1, 500))})
+	f.schedule(unlimitedAdvice)
+	query := actionsOf[QueryAdvice](f)[0]
+	info := f.m.workers["a"].info
+	info.Born = 2
+	f.apply(WorkersListed{Workers: []cell.Worker{info}})
+	f.apply(RenewResult{Worker: "a", SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 2}})
+	f.clearActions()
+	answer := cell.AdviceAnswer{Eligible: []cell.Ticket{{Worker: "a", Ticket: "t"}}}
+	f.apply(AdviceResult{Step: query.Step, AskedWorkers: query.Workers, Answer: answer})
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 0)
+	f.now += time.Second
+	f.apply(Tick{})
+	f.apply(RenewResult{Worker: "a", SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 2}})
+	f.schedule(unlimitedAdvice)
+	again := actionsOf[QueryAdvice](f)
+	is.Equal(len(again), 1)
+	f.apply(AdviceResult{Step: query.Step, AskedWorkers: again[0].Workers, Answer: answer})
+	f.scheduleAndRecord()
+	is.Equal(len(actionsOf[SendStart](f)), 1)
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -210,6 +210,11 @@
 // incarnation. An incarnation may have other labels and another capacity than the one before.
 func (w *worker) isDescribed() bool { return w.isListed && w.entry.Born == w.info.Born }
 
+// isSameSince reports whether the owner has seen no restart of the worker since a time.
+func (w *worker) isSameSince(t time.Duration) bool {
+	return w.incarnation == 0 || w.incarnationSeenAt < t
+}
+
 // useEarlierEntry assumes that a worker without runs that does not answer has been replaced by
 // the process of its last entry, although that has an earlier start time: the time of day may
 // have been set back between the two. tickWorker calls it.
