--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -343,8 +343,9 @@
 }
 
 // tickWorker does everything that is due for a worker: it closes the runs of
-// an expired lease, uses an earlier entry if the worker is gone, sends the next renewal, repeats unanswered requests and
-// removes an unused worker. It runs for every worker on each Tick.
+// an expired lease, uses an earlier entry if the worker is gone, sends the next
+// renewal, repeats unanswered requests and removes an unused worker. It runs for
+// every worker on each Tick.
 func (m *Machine) tickWorker(w *worker) {
 	if len(w.runs) > 0 && w.failedRenewals > 0 || !w.hasAnswered {
 		m.closeExpiredRuns(w)
