--- a/review/stand2/cluster.go
+++ b/review/stand2/cluster.go
@@ -141,12 +141,16 @@
 func (c *cluster) addWorkers(n int) error {
 	for i := range n {
 		w := c.fleet.add(fmt.Sprintf("w-%03d", i), c.addr(2, i, workerPort), zones[i%3], fmt.Sprintf("r%d", i/8), 32000, 65536)
+		w.kind = "kind-a"
+		if i < specialKinds {
+			w.kind = specialKind(i)
+		}
 		l, err := net.Listen("tcp", w.addr)
 		if err != nil {
 			return err
 		}
-		w.server = &http.Server{Handler: w.handler()}
-		go func() { _ = w.server.Serve(l) }()
+		s := &http.Server{Handler: w.handler()}
+		go func() { _ = s.Serve(l) }()
 	}
 	c.writeEntries()
 	go func() {
@@ -162,27 +166,15 @@
 	return nil
 }
 
-// writeEntries writes the entries of all workers that are there, as they do at each heartbeat, and removes
-// those of lost ones.
+// writeEntries writes the entries of all minions, as they do at each heartbeat.
 func (c *cluster) writeEntries() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seq++
 	for _, w := range c.fleet.workers {
-		c.fleet.mu.Lock()
-		lostAt := w.lostAt
-		c.fleet.mu.Unlock()
-		if !lostAt.IsZero() {
-			// The platform removes an entry after three heartbeat intervals of silence.
-			if !w.isRemoved && time.Since(lostAt) > 3*heartbeat {
-				w.isRemoved = true
-				_ = c.store.WriteEntry(w.id, nil)
-			}
-			continue
-		}
 		value, _ := json.Marshal(map[string]any{
 			"Service": service, "Address": w.addr, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{"kind-a", w.rack}, "Sequence": c.seq, "born": w.born,
+			"Capacity": map[string]any{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{w.kind, w.rack}, "Sequence": c.seq, "born": w.born,
 		})
 		_ = c.store.WriteEntry(w.id, value)
 	}
@@ -261,16 +253,6 @@
 	return true
 }
 
-// vmNamed returns a VM by its name.
-func (c *cluster) vmNamed(name string) *vm {
-	for _, v := range c.vms {
-		if v.name == name {
-			return v
-		}
-	}
-	return nil
-}
-
 // close ends all processes.
 func (c *cluster) close() {
 	close(c.stop)
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,9 +25,11 @@
 	gangTimeout = 3 * time.Second
 	// startup is the time after which a task that lasts is at work.
 	startup = 300 * time.Millisecond
+	// paceDelay is PaceMs.
+	paceDelay = 100 * time.Millisecond
 )
 
-// jobDef is what the fleet knows of a submitted job, whose tasks all last.
+// jobDef is what the fleet knows of a submitted job.
 type jobDef struct {
 	id    string
 	spec  string
@@ -39,10 +42,21 @@
 	// cpu is in thousandths of a core, memory in MB.
 	cpu    int64
 	memory int64
-	// spread is AntiAffinity.
+	// spread is AntiAffinity, 0 for none.
 	spread int
-	// life draws the time after which a run fails; 0 is never.
+	// label is Requirements, empty for none.
+	label string
+	// life draws the time after which a run of a task that lasts fails; 0 is never. It is nil for a step
+	// whose tasks end.
 	life func() time.Duration
+	// work is how long a task that ends takes at full speed.
+	work time.Duration
+	// fills is true for tasks that fill (Fills).
+	fills bool
+	// target is TargetMs of tasks that serve; load returns the tail of their response times as a share of it,
+	// without the tasks that fill beside them.
+	target int64
+	load   func() float64
 }
 
 // fleet is all minions of the deployment with one record of what they ran.
@@ -61,6 +75,7 @@
 	active  map[*run]bool
 	lastEnd time.Time
 	runs    int
+	isDone  bool
 }
 
 // worker is a minion. The mutex of the fleet guards its fields.
@@ -70,6 +85,7 @@
 	addr       string
 	zone       string
 	rack       string
+	kind       string
 	cpu, mem   int64
 	born       int64
 	startedAt  time.Time
@@ -79,11 +95,6 @@
 	highest    map[string]int
 	ended      []endRow
 	lastNumber int64
-	server     *http.Server
-	// lostAt is when the minion was lost, zero while it is there. isRemoved is true once the platform has
-	// removed its entry.
-	lostAt    time.Time
-	isRemoved bool
 }
 
 // run is one run of a task on a minion.
@@ -95,6 +106,13 @@
 	// failsAt is zero for a run that does not fail, stopsAt while no stop was ordered.
 	failsAt time.Time
 	stopsAt time.Time
+	// worked is the work done until workedAt, at pace percent of full speed since; nextPace holds from
+	// paceAt on.
+	worked   time.Duration
+	workedAt time.Time
+	pace     int
+	nextPace int
+	paceAt   time.Time
 }
 
 // endRow is an end that a minion lists until it is acknowledged.
@@ -158,9 +176,6 @@
 
 // tick ends the runs that are due.
 func (w *worker) tick(now time.Time) {
-	if !w.lostAt.IsZero() {
-		return
-	}
 	hasLapsed := w.clock(now) > w.leaseEnd
 	for _, r := range w.runs {
 		switch {
@@ -170,10 +185,38 @@
 			w.end(r, "stopped", now)
 		case !r.failsAt.IsZero() && !now.Before(r.failsAt):
 			w.end(r, "failed", now)
+		case r.step.life == nil && r.advance(now) >= r.step.work:
+			w.f.task(r.task).isDone = true
+			w.end(r, "done", now)
 		}
 	}
 }
 
+// advance adds the work done since the last call and returns all of it.
+func (r *run) advance(now time.Time) time.Duration {
+	if !r.paceAt.IsZero() && !now.Before(r.paceAt) {
+		r.pace, r.paceAt = r.nextPace, time.Time{}
+	}
+	r.worked += now.Sub(r.workedAt) * time.Duration(r.pace) / 100
+	r.workedAt = now
+	return r.worked
+}
+
+// disturbance is what a task that fills adds, at full pace, to the tail of the tasks that serve beside it, as
+// a share of their target.
+const disturbance = 0.02
+
+// tail returns the tail of a run that serves, in ms.
+func (w *worker) tail(r *run) float64 {
+	share := r.step.load()
+	for _, o := range w.runs {
+		if o.step.fills {
+			share += disturbance * float64(o.pace) / 100
+		}
+	}
+	return share * float64(r.step.target)
+}
+
 // end ends a run and lists it.
 func (w *worker) end(r *run, how string, now time.Time) {
 	delete(w.runs, r.task)
@@ -188,23 +231,6 @@
 	w.f.changed = make(chan struct{})
 }
 
-// lose takes a minion away for good, with all that it runs.
-func (w *worker) lose() {
-	w.f.mu.Lock()
-	now := time.Now()
-	w.lostAt = now
-	w.f.rec.line("%s is lost for good", w.id)
-	for _, r := range w.runs {
-		t := w.f.task(r.task)
-		delete(t.active, r)
-		t.lastEnd = now
-		w.f.rec.line("%s run %d was on %s", r.task, r.number, w.id)
-	}
-	w.runs = map[string]*run{}
-	w.f.mu.Unlock()
-	_ = w.server.Close()
-}
-
 // order is the body of any order to a minion.
 type order struct {
 	Task         string
@@ -214,6 +240,7 @@
 	FencingToken int64
 	AckCursor    int64
 	WaitMs       int64
+	Percent      int
 }
 
 // handler returns the HTTP handler of a minion.
@@ -279,6 +306,10 @@
 			w.ended = w.ended[1:]
 		}
 	case "/v1/pace":
+		if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.step.fills {
+			r.nextPace, r.paceAt = o.Percent, now.Add(paceDelay)
+			w.f.rec.line("%s paces %s run %d to %d %%", w.id, o.Task, o.Run, o.Percent)
+		}
 	default:
 		return http.StatusNotFound, ""
 	}
@@ -301,9 +332,11 @@
 	if old != nil {
 		w.end(old, "stopped", now)
 	}
-	r := &run{task: o.Task, number: o.Run, step: s, startedAt: now}
-	if life := s.life(); life > 0 {
-		r.failsAt = now.Add(life)
+	r := &run{task: o.Task, number: o.Run, step: s, startedAt: now, workedAt: now, pace: 100}
+	if s.life != nil {
+		if life := s.life(); life > 0 {
+			r.failsAt = now.Add(life)
+		}
 	}
 	w.runs[o.Task] = r
 	t := w.f.task(o.Task)
@@ -345,11 +378,17 @@
 	w.tick(now)
 	running, finished := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		percent := 0
-		if now.Sub(r.startedAt) >= startup {
+		percent, metric := 0, float64(r.step.cpu)
+		switch {
+		case r.step.life == nil:
+			percent = int(100 * r.advance(now) / r.step.work)
+		case now.Sub(r.startedAt) >= startup:
 			percent = 100
 		}
-		running = append(running, []any{r.task, r.number, "", percent, r.step.cpu})
+		if r.step.target > 0 {
+			metric = math.Round(w.tail(r))
+		}
+		running = append(running, []any{r.task, r.number, "", percent, metric})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
@@ -358,16 +397,15 @@
 }
 
 // hasRoomTwice reports whether the minions have room for a task of a step twice over, also regarding
-// AntiAffinity, and the share of the processors of the service in use.
+// AntiAffinity and Requirements, and the share of the processors of the service in use.
 func (f *fleet) hasRoomTwice(s *stepDef) (twice bool, used float64) {
 	var total, free, room int64
 	for _, w := range f.workers {
-		if !w.lostAt.IsZero() {
-			continue
-		}
 		cpu, mem, same := w.cpu, w.mem, 0
 		for _, r := range w.runs {
-			cpu -= r.step.cpu
+			if !r.step.fills {
+				cpu -= r.step.cpu
+			}
 			mem -= r.step.memory
 			if r.step == s {
 				same++
@@ -375,7 +413,17 @@
 		}
 		total += w.cpu
 		free += cpu
-		room += max(0, min(cpu/s.cpu, mem/s.memory, int64(s.spread-same)))
+		if s.label != "" && s.label != w.kind && s.label != w.rack {
+			continue
+		}
+		fits := mem / s.memory
+		if s.spread > 0 {
+			fits = min(fits, int64(s.spread-same))
+		}
+		if !s.fills {
+			fits = min(fits, cpu/s.cpu)
+		}
+		room += max(0, fits)
 	}
 	return room >= 2, 1 - float64(free)/float64(total)
 }
--- a/review/stand2/lasting.go
+++ b/review/stand2/lasting.go
@@ -46,6 +46,9 @@
 	return c.watchLasting(names, 100*time.Second, maxPause), nil
 }
 
+// never is the life of a task that does not fail.
+func never() time.Duration { return 0 }
+
 // newLastingJob returns a job of one step whose tasks last.
 func newLastingJob(count, spread int, cpu int64, life func() time.Duration) *jobDef {
 	return &jobDef{id: fmt.Sprintf("%016x", rand.Uint64()), spec: "desk",
@@ -54,10 +57,14 @@
 
 // submitLasting submits a job of newLastingJob until it is accepted.
 func (c *cluster) submitLasting(j *jobDef) error {
-	c.fleet.addJob(j)
 	s := &j.steps[0]
-	body := map[string]any{"Spec": j.spec, "Phases": []any{map[string]any{"Count": s.count, "Cpu": s.cpu, "MemMb": s.memory,
-		"EstimatedMs": 1000, "LongRunning": true, "AntiAffinity": s.spread}}}
+	return c.submit(j, map[string]any{"Count": s.count, "Cpu": s.cpu, "MemMb": s.memory, "EstimatedMs": 1000, "LongRunning": true, "AntiAffinity": s.spread})
+}
+
+// submit submits a job of one step until it is accepted.
+func (c *cluster) submit(j *jobDef, phase map[string]any) error {
+	c.fleet.addJob(j)
+	body := map[string]any{"Spec": j.spec, "Phases": []any{phase}}
 	for i := range 20 {
 		if status, _ := c.call(c.vms[i%len(c.vms)], "POST", "/desk/"+j.id, body); status == 200 {
 			return nil
@@ -107,3 +114,21 @@
 	}
 	return broken
 }
+
+// awaitRunning waits until all tasks run.
+func (c *cluster) awaitRunning(names []string, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c.fleet.mu.Lock()
+		running := 0
+		for _, name := range names {
+			if len(c.fleet.task(name).active) > 0 {
+				running++
+			}
+		}
+		c.fleet.mu.Unlock()
+		if running == len(names) {
+			return true
+		}
+	}
+	return false
+}
