--- a/review/stand2/cluster.go
+++ b/review/stand2/cluster.go
@@ -141,7 +141,7 @@
 func (c *cluster) addWorkers(n int) error {
 	for i := range n {
 		w := c.fleet.add(fmt.Sprintf("w-%03d", i), c.addr(2, i, workerPort), zones[i%3], fmt.Sprintf("r%d", i/8), 32000, 65536)
-		w.kind = "kind-a"
+		w.kind = usualKind
 		if i < specialKinds {
 			w.kind = specialKind(i)
 		}
--- a/review/stand2/filling.go
+++ b/review/stand2/filling.go
@@ -33,6 +33,9 @@
 	highLoad = 0.85
 )
 
+// usualKind is the kind of the other minions.
+const usualKind = "kind-a"
+
 // specialKind is the label of a kind that one minion has.
 func specialKind(i int) string { return fmt.Sprintf("special-%d", i) }
 
@@ -92,28 +95,41 @@
 }
 
 // watchIdle returns the jobs that have nothing running for 3 s from a time on, although there is room for
-// their task twice over on the minion that it requires and less than half of the service is in use.
+// their next step twice over on the minion that it requires and less than half of the service is in use.
 func (c *cluster) watchIdle(jobs []*jobDef, from time.Time) (broken []string) {
 	idleSince := map[string]time.Time{}
 	for ; time.Now().Before(from.Add(3100 * time.Millisecond)); time.Sleep(20 * time.Millisecond) {
 		c.fleet.mu.Lock()
 		now := time.Now()
 		for _, j := range jobs {
-			t := c.fleet.task(j.taskNames()[0])
-			if t.isDone || len(t.active) > 0 || now.Before(from) {
+			step, runs, isIdle := c.fleet.waitingStep(j)
+			if !isIdle || now.Before(from) {
 				delete(idleSince, j.id)
 				continue
 			}
 			if idleSince[j.id].IsZero() {
 				idleSince[j.id] = now
 			}
-			twice, used := c.fleet.hasRoomTwice(&j.steps[0])
+			twice, used := c.fleet.hasRoomTwice(step)
 			if now.Sub(idleSince[j.id]) >= 3*time.Second && twice && used < 0.5 {
 				idleSince[j.id] = now.Add(time.Hour)
-				broken = append(broken, fmt.Sprintf("LOST: job %s, accepted, has had nothing running for 3 s, %v after the end of the traffic; it ran %d times; %.0f %% of the service are in use", j.id, finish, t.runs, 100*used))
+				broken = append(broken, fmt.Sprintf("LOST: job %s, accepted, has had nothing running for 3 s, %v after the end of the traffic; its next step ran %d times; %.0f %% of the service are in use", j.id, finish, runs, 100*used))
 			}
 		}
 		c.fleet.mu.Unlock()
 	}
 	return broken
 }
+
+// waitingStep returns the first step of a job that is not done, the number of its runs, and whether the job has
+// nothing running. Each step has one task and depends on the one before.
+func (f *fleet) waitingStep(j *jobDef) (step *stepDef, runs int, isIdle bool) {
+	for i, name := range j.taskNames() {
+		t := f.task(name)
+		if t.isDone {
+			continue
+		}
+		return &j.steps[i], t.runs, len(t.active) == 0
+	}
+	return nil, 0, false
+}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -49,8 +49,9 @@
 	// life draws the time after which a run of a task that lasts fails; 0 is never. It is nil for a step
 	// whose tasks end.
 	life func() time.Duration
-	// work is how long a task that ends takes at full speed.
-	work time.Duration
+	// work is how long a task that ends takes at full speed. isHopeless is true for one that always fails then.
+	work       time.Duration
+	isHopeless bool
 	// fills is true for tasks that fill (Fills).
 	fills bool
 	// target is TargetMs of tasks that serve; load returns the tail of their response times as a share of it,
@@ -186,8 +187,12 @@
 		case !r.failsAt.IsZero() && !now.Before(r.failsAt):
 			w.end(r, "failed", now)
 		case r.step.life == nil && r.advance(now) >= r.step.work:
-			w.f.task(r.task).isDone = true
-			w.end(r, "done", now)
+			how := "done"
+			if r.step.isHopeless {
+				how = "failed"
+			}
+			w.f.task(r.task).isDone = !r.step.isHopeless
+			w.end(r, how, now)
 		}
 	}
 }
--- a/review/stand2/lasting.go
+++ b/review/stand2/lasting.go
@@ -61,10 +61,10 @@
 	return c.submit(j, map[string]any{"Count": s.count, "Cpu": s.cpu, "MemMb": s.memory, "EstimatedMs": 1000, "LongRunning": true, "AntiAffinity": s.spread})
 }
 
-// submit submits a job of one step until it is accepted.
-func (c *cluster) submit(j *jobDef, phase map[string]any) error {
+// submit submits a job with the given phases until it is accepted.
+func (c *cluster) submit(j *jobDef, phases ...map[string]any) error {
 	c.fleet.addJob(j)
-	body := map[string]any{"Spec": j.spec, "Phases": []any{phase}}
+	body := map[string]any{"Spec": j.spec, "Phases": phases}
 	for i := range 20 {
 		if status, _ := c.call(c.vms[i%len(c.vms)], "POST", "/desk/"+j.id, body); status == 200 {
 			return nil
