--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -205,6 +205,7 @@
 		StatusRetention: s.StatusRetention,
 		Grace:           s.GracePeriod,
 		RemoteFactor:    s.RemoteFactor,
+		QuotaOvershoot:  s.QuotaOvershoot,
 		OnOwnership:     setGCPercent,
 	}
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -85,6 +85,8 @@
 	Target             time.Duration `json:"t"`
 	// Advice is nil if every worker may run the queue's steps.
 	Advice *AdviceTiming `json:"adv,omitempty"`
+	// Public is true if calls on the queue need no API key.
+	Public bool `json:"-"`
 }
 
 // Config is one version of the configuration that operators publish.
@@ -96,6 +98,9 @@
 	Guarded map[string]bool
 	// MaxBody is the size limit of a request body in bytes.
 	MaxBody int64
+	// Customers is nil if the configuration has no customers. Calls then need no API key, and
+	// no quota or share applies.
+	Customers *Customers
 	// queueByName, queuesByHost and services are built by Index, since a configuration may
 	// have thousands of queues.
 	queueByName  map[string]*Queue
@@ -120,6 +125,18 @@
 		c.queueByName[q.Name] = q
 		c.queuesByHost[q.Host] = append(c.queuesByHost[q.Host], q)
 	}
+	if c.Customers != nil {
+		c.Customers.index()
+	}
+}
+
+// Customer returns the customer with a name, or nil if the configuration does not have it. The
+// owner calls it to find the quota and the weight of a job's customer.
+func (c *Config) Customer(name string) *Customer {
+	if c.Customers == nil || name == "" {
+		return nil
+	}
+	return c.Customers.ByName(name)
 }
 
 // Queue returns the queue for a caller's HTTP request, or nil: host is the host name
@@ -202,6 +219,9 @@
 type Job struct {
 	ID    JobID `json:"-"`
 	Queue Queue `json:"q"`
+	// Customer is the name of the customer whose API key submitted the job, or "" if there is
+	// none. The key itself is not kept.
+	Customer string `json:"u,omitempty"`
 	// Spec is passed to each task unchanged.
 	Spec  string `json:"s"`
 	Steps []Step `json:"p"`
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -154,12 +154,13 @@
 		jobServices:     map[string]bool{},
 		followers:       map[string]helloMessage{},
 		machine: owner.New(owner.Options{
-			Term:         term,
-			LeaseLimit:   n.settings.LeaseLimit,
-			GangTimeout:  n.settings.GangTimeout,
-			RemoteFactor: n.settings.RemoteFactor,
-			OwnedAt:      n.election.OwnedAt(),
-			Seed:         uint64(bootTime()),
+			Term:           term,
+			LeaseLimit:     n.settings.LeaseLimit,
+			GangTimeout:    n.settings.GangTimeout,
+			RemoteFactor:   n.settings.RemoteFactor,
+			QuotaOvershoot: n.settings.QuotaOvershoot,
+			OwnedAt:        n.election.OwnedAt(),
+			Seed:           uint64(bootTime()),
 		}, eventTime()),
 	}
 	return c
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -21,6 +21,9 @@
 	// RemoteFactor multiplies the run time of a task that runs outside the rack of
 	// its data or its gang.
 	RemoteFactor float64
+	// QuotaOvershoot is the fraction by which what a customer has running may exceed its
+	// quota.
+	QuotaOvershoot float64
 	// OwnedAt is when the claim of this term was sent, on the clock of Time.Mono.
 	OwnedAt time.Duration
 	Seed    uint64
