--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -23,6 +23,11 @@
 	// maxReadAge is the age of the last successful read of the store from which
 	// this VM reports that it is not ready.
 	maxReadAge = 1500 * time.Millisecond
+	// maxConfigAge is the age of the last read of the configuration from which this VM reports
+	// that it is not ready. A version has to be in force everywhere after 3 s, so that a VM
+	// that has not read it for so long may have keys in force that are revoked. It is longer
+	// than configReadInterval and two reads of a slow store, which take 0.35 s each.
+	maxConfigAge = 2500 * time.Millisecond
 )
 
 // Config returns the configuration in force, or nil if none has been read.
@@ -40,6 +45,9 @@
 	if isFollower(n.settings) && !n.knowsAllJobs() {
 		return false
 	}
+	if bootTime()-time.Duration(n.configReader.lastReadAt.Load()) > maxConfigAge {
+		return false
+	}
 	if n.committer.isStoreDown() {
 		return false
 	}
@@ -69,11 +77,13 @@
 	kv := cell.KeyValue{Key: cell.JobKey(job.ID), Value: value}
 	if err := n.appendJobRecord(ctx, kv); err != nil {
 		n.countRequest("submit", requestOutcome(err))
+		n.customerMetrics.count(job.Customer, customerOutcome(err))
 		n.logRefusal(job, err)
 		return err
 	}
 	n.countRequest("submit", "accepted")
-	n.log.Info("job is accepted", "id", string(job.ID), "queue", job.Queue.Name, "steps", len(job.Steps))
+	n.customerMetrics.count(job.Customer, outcomeAccepted)
+	n.log.Info("job is accepted", "id", string(job.ID), "queue", job.Queue.Name, "customer", job.Customer, "steps", len(job.Steps))
 	return nil
 }
 
@@ -81,7 +91,7 @@
 // outage refuses every submission. Submit calls it when the record could not
 // be appended.
 func (n *Node) logRefusal(job *cell.Job, err error) {
-	n.logLimited(&n.refusalLimiter, "job is not accepted", "id", string(job.ID), "queue", job.Queue.Name,
+	n.logLimited(&n.refusalLimiter, "job is not accepted", "id", string(job.ID), "queue", job.Queue.Name, "customer", job.Customer,
 		"outcome", requestOutcome(err), "error", err.Error())
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -123,9 +123,11 @@
 	logWriter   *asyncWriter
 	log         hclog.Logger
 	metrics     *metrics
-	panics      panicReporter
-	replica     *replica
-	instance    string
+	// customerMetrics count submissions by customer.
+	customerMetrics *customerMetrics
+	panics          panicReporter
+	replica         *replica
+	instance        string
 
 	// config is the configuration in force, or nil.
 	config         atomic.Pointer[cell.Config]
@@ -161,9 +163,10 @@
 	// that no VM had notified it of.
 	unnotifiedAt atomic.Int64
 	// refusalLimiter limits the log lines about refused submissions,
-	// acceptedCancelLimiter and deniedCancelLimiter those about cancellations. Guarded
-	// by mu.
+	// invalidKeyLimiter those about calls without a valid key, acceptedCancelLimiter and
+	// deniedCancelLimiter those about cancellations. Guarded by mu.
 	refusalLimiter        logLimiter
+	invalidKeyLimiter     logLimiter
 	acceptedCancelLimiter logLimiter
 	deniedCancelLimiter   logLimiter
 	// pendingCounts are the numbers of pending jobs by queue, as reported by the
@@ -209,6 +212,7 @@
 		takeoverTimeout: defaultTakeoverTimeout,
 	}
 	n.metrics = newMetrics(func() float64 { return float64(n.replica.size()) })
+	n.customerMetrics = newCustomerMetrics(n.metrics.registry)
 	n.panics = panicReporter{log: n.log, metrics: n.metrics}
 	n.workers = containedWorkers{ports.Workers, n.panics}
 	n.advisor = containedAdvisor{ports.Advisor, n.panics}
--- a/internal/cell/node/topics.go
+++ b/internal/cell/node/topics.go
@@ -94,7 +94,8 @@
 			continue
 		}
 		n.config.Store(config)
-		n.log.Info("configuration is in force", "version", config.Version, "queues", len(config.Queues))
+		n.customerMetrics.keepOnly(config.Customers)
+		n.log.Info("configuration is in force", "version", config.Version, "queues", len(config.Queues), "customers", customerCount(config))
 	}
 }
 
