Keep the customer of a job that another customer submits again

A repeated submission by a VM that does not know the job is appended under the same key, and a new owner reads the newest record, so that the job would change its customer in a takeover. The owner now leaves repetitions out of the batches that it appends for other VMs, and writes the first submission again after another VM has appended one of another customer without the owner.

--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -57,6 +57,9 @@
 	record cell.Record
 	// isNew is true if the record is not a repetition.
 	isNew bool
+	// original is the submission of an unfinished job that was submitted again for another
+	// customer, else nil.
+	original []byte
 }
 
 // apply applies one record of topic jobs or progress. It runs for each record
@@ -77,7 +80,8 @@
 	}
 	switch rec.Kind {
 	case cell.RecordJob:
-		return recordChange{record: rec, isNew: e.setSubmission(rec.Value)}
+		original := e.originalOf(rec.Value)
+		return recordChange{record: rec, isNew: e.setSubmission(rec.Value), original: original}
 	case cell.RecordCancel:
 		isNew := !e.isCancelled
 		e.isCancelled = true
--- a/internal/cell/node/rpc.go
+++ b/internal/cell/node/rpc.go
@@ -87,12 +87,16 @@
 }
 
 // Submit implements cellpb.Cell. Only the owner appends the records. Another
-// VM calls it to commit a batch of its callers' records.
+// VM calls it to commit a batch of its callers' records. Submissions that are recorded already
+// are left out; see withoutRepetitions.
 func (s *rpcServer) Submit(ctx context.Context, req *cellpb.SubmitRequest) (*cellpb.SubmitResponse, error) {
 	if s.node.activeLoop() == nil {
 		return &cellpb.SubmitResponse{Outcome: cellpb.Outcome_NOT_DONE}, nil
 	}
-	records := recordsFromProto(req.Records)
+	records := s.node.replica.withoutRepetitions(recordsFromProto(req.Records))
+	if len(records) == 0 {
+		return &cellpb.SubmitResponse{Outcome: cellpb.Outcome_DONE}, nil
+	}
 	if err := s.node.committer.append(ctx, records); err != nil {
 		return &cellpb.SubmitResponse{Outcome: commitOutcome(err)}, nil
 	}
--- a/internal/cell/node/topics.go
+++ b/internal/cell/node/topics.go
@@ -130,6 +130,8 @@
 				// The state machine ignored the cancellation while it did not know the job.
 				c.postRecord(cell.Record{Job: r.Job, Kind: cell.RecordCancel}, n.log)
 			}
+		} else if c != nil && applied.original != nil {
+			go n.restoreSubmission(cell.KeyValue{Key: kv.Key, Value: applied.original})
 		}
 	}
 	return hasNew
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -242,6 +242,18 @@
 	return head.Queue.Name
 }
 
+// DecodeCustomer returns the customer's name of an encoded job without decoding the rest, or "" if
+// the job has none or cannot be decoded. The owner compares submissions of one job with it.
+func DecodeCustomer(value []byte) string {
+	var head struct {
+		Customer string `json:"u"`
+	}
+	if err := json.Unmarshal(value, &head); err != nil {
+		return ""
+	}
+	return head.Customer
+}
+
 // ensureFailedRuns creates the map FailedRuns if it is nil. Only SetFailedRuns calls
 // it, before it writes to the map.
 func (p *StepProgress) ensureFailedRuns() {
