Refuse jobs of customers while the configuration may be outdated

A VM that was paused, or that does not read the configuration for another reason, accepted jobs for revoked keys until its next read. It now refuses a customer's job with 503 while its newest read of the configuration was sent 3 s ago or earlier.

--- a/internal/cell/node/customermetrics.go
+++ b/internal/cell/node/customermetrics.go
@@ -16,7 +16,9 @@
 	outcomeKeyRefused = "refused_key"
 	// outcomeStoreRefused is that of submissions that were certainly not recorded.
 	outcomeStoreRefused = "refused_store"
-	outcomeUnknown      = "unknown"
+	// outcomeConfigRefused is that of submissions whose keys this VM could not judge.
+	outcomeConfigRefused = "refused_config"
+	outcomeUnknown       = "unknown"
 	// noCustomer is the label of calls without a customer, and of customers that are not in the
 	// configuration in force.
 	noCustomer = "none"
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -65,6 +65,13 @@
 // other error it may have been. It runs on the goroutine of a caller's
 // request, on every VM.
 func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
+	if job.Customer != "" && !n.knowsKeysInForce() {
+		n.countRequest("submit", "not_run")
+		n.customerMetrics.count(job.Customer, outcomeConfigRefused)
+		err := &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: errKeysUnknown}
+		n.logRefusal(job, err)
+		return err
+	}
 	if _, known := n.replica.state(job.ID); known {
 		n.countRequest("submit", "repeated")
 		return nil
@@ -87,6 +94,21 @@
 	return nil
 }
 
+// maxKeyAge is the age of the newest read of the configuration from which this VM does not accept
+// jobs of customers: a key must not be accepted later than 3 s after the acknowledgement of the
+// version that revokes it, also by a VM that was paused or reads nothing for another reason.
+const maxKeyAge = 3 * time.Second
+
+// errKeysUnknown is the cause reported for submissions that this VM does not accept since their
+// keys may have been revoked.
+var errKeysUnknown = eris.New("the configuration was not read lately")
+
+// knowsKeysInForce reports whether this VM has read the configuration lately enough to know the
+// keys. Submit calls it.
+func (n *Node) knowsKeysInForce() bool {
+	return bootTime()-time.Duration(n.configReader.lastSentAt.Load()) < maxKeyAge
+}
+
 // logRefusal logs a refused submission. The lines are rate limited because an
 // outage refuses every submission. Submit calls it when the record could not
 // be appended.
