soak: customers with keys and quotas that change

Callers send keys; calls with keys that are not valid are tried beside them; KEY and QUOTA are judged by what callers and workers see.

go test ./internal/soak -run 'Custom|Quota|Keys|Schedule': ok

--- a/cmd/gypsumwinch-soak/main.go
+++ b/cmd/gypsumwinch-soak/main.go
@@ -40,6 +40,7 @@
 	dir := flag.String("dir", filepath.Join(os.TempDir(), "gypsumwinch-soak"), "directory for schedules, settings and logs")
 	cancels := flag.Bool("cancels", false, "draw schedules with many prompt cancellations and calm gaps between groups of faults")
 	bound := flag.Bool("cancel-bound", true, "check the time in which runs of cancelled jobs end; a machine that is too slow breaks it")
+	customers := flag.Int("customers", 0, "number of customers with keys and quotas that change")
 	schedule := flag.String("schedule", "", "play the schedule in this file instead of drawn ones")
 	flag.Parse()
 
@@ -57,7 +58,11 @@
 		draw = soak.DrawCancelSchedule
 	}
 	for i := uint64(0); *schedule == "" && i < *seeds; i++ {
-		schedules = append(schedules, draw(*seed+i, soak.Size{VMs: *vms, Workers: *workers, Traffic: *traffic, JobsPerSecond: *rate}))
+		s := draw(*seed+i, soak.Size{VMs: *vms, Workers: *workers, Traffic: *traffic, JobsPerSecond: *rate})
+		if *customers > 0 {
+			s = s.WithCustomers(*customers)
+		}
+		schedules = append(schedules, s)
 	}
 	return playAll(schedules, *parallel, soak.Options{Daemon: *daemon, Dir: *dir, ChecksCancelBound: *bound})
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -64,6 +64,10 @@
 
 	mu            sync.Mutex
 	cancellations []cancellation
+	// keyAnswers are the answers that show whether a VM took a key for valid.
+	keyAnswers []keyAnswer
+	// customerJobs are the jobs of customers.
+	customerJobs []*job
 }
 
 // newCallers returns callers that keep their connections open until the peer closes them.
@@ -120,14 +124,22 @@
 	retryAfter time.Duration
 }
 
-// call makes a request to a VM. Its error means that there is no whole answer.
+// call makes a request without a key to a VM. Its error means that there is no whole answer.
 func (cs *callers) call(vmIndex int, method, path string, body []byte) (response, error) {
+	return cs.callWith("", vmIndex, method, path, body)
+}
+
+// callWith makes a request with a key, unless that is empty.
+func (cs *callers) callWith(key string, vmIndex int, method, path string, body []byte) (response, error) {
 	req, err := http.NewRequest(method, "http://"+cs.cluster.addr(7, vmIndex, callerPort)+path, bytes.NewReader(body))
 	if err != nil {
 		return response{}, err
 	}
 	req.Host = host
 	req.Header.Set(storeserver.DeadlineHeader, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if key != "" {
+		storeserver.SetKey(req.Header, key)
+	}
 	resp, err := cs.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -147,6 +159,11 @@
 	path       string
 	acceptedAt time.Time
 	isCancel   bool
+	// customer is the index of the job's customer, or -1 if it has none.
+	customer int
+	// submittedWith are the keys with which it was submitted.
+	submittedWith []string
+	steps         []fleet.Step
 }
 
 // drawJob draws the steps of a job and registers it with the fleet.
@@ -173,12 +190,20 @@
 	if rand.Float64() < cs.schedule.LongShare {
 		def.Steps[0].Duration = minLongTask + time.Duration(rand.Int64N(int64(minLongTask)))
 	}
+	customer := cs.cluster.drawCustomer()
+	cs.cluster.fitSteps(customer, def.Steps, phases)
 	cs.cluster.fleet.AddJob(def)
 	body, err := json.Marshal(map[string]any{"Spec": def.Spec, "Phases": phases})
 	if err != nil {
 		cs.cluster.report("FAULT", "encode job: %v", err)
 	}
-	return &job{id: id, path: queue.PathPrefix + id}, body
+	j := &job{id: id, path: cs.cluster.prefix(queue.PathPrefix, customer) + id, customer: customer, steps: def.Steps}
+	if customer >= 0 {
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		cs.customerJobs = append(cs.customerJobs, j)
+	}
+	return j, body
 }
 
 // run submits jobs at a rate for a time, and returns when each accepted job has ended.
@@ -253,7 +278,7 @@
 		attempts = 1
 	}
 	for range attempts {
-		resp, err := cs.call(cs.pickVM(), http.MethodPost, j.path, body)
+		resp, err := cs.callFor(j, cs.pickVM(), http.MethodPost, body)
 		switch {
 		case err != nil || resp.status == http.StatusGatewayTimeout || resp.status == http.StatusBadGateway:
 			allRefused = false
@@ -263,6 +288,8 @@
 			return true
 		case resp.status == http.StatusServiceUnavailable || resp.status == http.StatusTooManyRequests:
 			time.Sleep(min(resp.retryAfter, time.Second))
+		case resp.status == http.StatusUnauthorized && j.customer >= 0:
+			// The VM does not know the key yet, or any more; see judgeKeys.
 		default:
 			cs.cluster.report("FAULT", "submission of %s has status %d", j.id, resp.status)
 		}
@@ -282,7 +309,7 @@
 func (cs *callers) cancel(j *job) {
 	for {
 		i := cs.pickCanceller()
-		resp, err := cs.call(i, http.MethodDelete, j.path, nil)
+		resp, err := cs.callFor(j, i, http.MethodDelete, nil)
 		now := time.Now()
 		if err == nil && (resp.status == http.StatusOK || resp.status == http.StatusGone && now.Sub(j.acceptedAt) > visibleAfter) {
 			cs.mu.Lock()
@@ -342,8 +369,10 @@
 // state asks any VM for the state of a job. known is false if there is no answer. The state
 // of a job that the VM denies is "".
 func (cs *callers) state(j *job) (state string, known bool) {
-	resp, err := cs.call(cs.pickVM(), http.MethodGet, j.path, nil)
+	resp, err := cs.callFor(j, cs.pickVM(), http.MethodGet, nil)
 	switch {
+	case err == nil && resp.status == http.StatusUnauthorized && j.customer >= 0:
+		return "", false
 	case err != nil || resp.status == http.StatusServiceUnavailable || resp.status == http.StatusGatewayTimeout:
 		return "", false
 	case resp.status == http.StatusGone && !j.isCancel && time.Since(j.acceptedAt) > visibleAfter:
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -51,6 +52,11 @@
 	workers   []*workerSlot
 	closers   []func()
 	stop      chan struct{}
+	// customers is nil in a run without customers.
+	customers *customerBook
+	// publishing is held while a configuration is published, so that versions are written in
+	// their order.
+	publishing sync.Mutex
 
 	mu         sync.Mutex
 	violations []string
@@ -82,6 +88,9 @@
 		dir: dir, startedAt: time.Now(), fleet: fleet.New(s.Seed), stop: make(chan struct{}),
 		holders: map[int64]string{}, faults: storeFaults{turnedAway: map[string]int{}},
 	}
+	if s.Customers > 0 {
+		c.customers = newCustomerBook(s.Seed, s.Customers)
+	}
 	c.store = storeserver.New(&cellstore.Store{}, c.recordAppend)
 	c.store.SetFault(c.storeFault)
 	if err := c.reserveBlock(); err != nil {
@@ -195,6 +204,7 @@
 		Name: name, Zone: fmt.Sprintf("dc-%d", i%3), IP: v.ip, CallerPort: callerPort, ReadinessPort: readinessPort, PeerPort: peerPort,
 		StoreAddr: c.addr(5, i, storePort), AdviceAddr: c.addr(6, 1, advicePort), CPUShare: share,
 		MaxLease: fleet.MaxLease, Grace: grace, GangTimeout: fleet.GangTimeout, StopTimeout: fleet.StopTimeout,
+		QuotaOvershoot: quotaOvershoot,
 	}
 	if err := settings.WriteFile(v.settingsPath); err != nil {
 		return eris.Wrap(err, "write settings")
@@ -232,8 +242,12 @@
 	return append(slices.Clone(c.violations), c.fleet.Violations()...)
 }
 
-// recordAppend notes who owns the cell, and checks that one process uses a term.
-func (c *cluster) recordAppend(_, topic string, record cell.KeyValue) {
+// recordAppend notes who owns the cell, and checks that one process uses a term and that no VM
+// records a key.
+func (c *cluster) recordAppend(vm, topic string, record cell.KeyValue) {
+	if bytes.Contains(record.Value, []byte(keyPrefix)) {
+		c.report("KEY", "%s records a key in %s", vm, topic)
+	}
 	if topic != storeserver.OwnerTopic {
 		return
 	}
@@ -284,11 +298,16 @@
 
 // publish publishes the next version of the configuration.
 func (c *cluster) publish() error {
+	c.publishing.Lock()
+	defer c.publishing.Unlock()
 	c.mu.Lock()
 	c.version++
 	version := c.version
 	c.mu.Unlock()
 	routes := append(queues(), storeserver.Route{Name: "version", Host: host, PathPrefix: versionPath(version), Service: service, MaxAttempts: 1, SlackFactor: 2})
+	if c.customers != nil {
+		return eris.Wrap(c.publishCustomers(version, routes), "publish configuration")
+	}
 	return eris.Wrap(c.store.PublishConfig(version, routes, service), "publish configuration")
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -135,6 +135,10 @@
 	// LongShare is the share of the jobs with a step whose tasks run for 10 to 20 s.
 	LongShare float64 `yaml:"long_share,omitempty"`
 	Faults    []Fault `yaml:"faults"`
+	// Customers is the number of customers with keys and quotas; without one, calls have no key.
+	Customers int `yaml:"customers,omitempty"`
+	// CustomerChanges are the changes of their keys and quotas.
+	CustomerChanges []CustomerChange `yaml:"customer_changes,omitempty"`
 }
 
 // Size is the size of a run.
@@ -224,6 +228,11 @@
 			return Schedule{}, eris.Errorf("schedule %s: fault %d has unknown kind %q", path, i, f.Kind)
 		}
 	}
+	for i, change := range s.CustomerChanges {
+		if !slices.Contains(changeKinds, change.Kind) || s.Customers <= 0 {
+			return Schedule{}, eris.Errorf("schedule %s: customer change %d of kind %q with %d customers", path, i, change.Kind, s.Customers)
+		}
+	}
 	if s.VMs <= 0 || s.Workers <= 0 || s.Traffic <= 0 || s.JobsPerSecond <= 0 {
 		return Schedule{}, eris.Errorf("schedule %s: vms, workers, traffic and jobs_per_second must be positive", path)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,12 +34,18 @@
 	Owners int
 	// Recovery is the time from the last fault until each accepted job had ended.
 	Recovery time.Duration
+	// QuotaStarts is the number of starts that were compared with a quota, KeyAnswers that of the
+	// answers by which keys were judged; both are 0 without customers.
+	QuotaStarts, KeyAnswers int
 }
 
 // Print writes the result as a line, and a line for each broken rule.
 func (r Result) Print(w io.Writer) {
 	fmt.Fprintf(w, "seed %d: submitted %d accepted %d refused %d unknown %d completed %d failed %d cancelled %d unanswered %d starts %d owners %d bound runs %d longest %.3f s recovery %.1f s broken rules %d\n",
 		r.Seed, r.Submitted, r.Accepted, r.Rejected, r.Unknown, r.Completed, r.Failed, r.Cancelled, r.Unanswered, r.Starts, r.Owners, r.BoundRuns, r.LongestBoundRun.Seconds(), r.Recovery.Seconds(), len(r.Violations))
+	if r.KeyAnswers > 0 {
+		fmt.Fprintf(w, "   customers: starts compared with a quota %d, answers about keys %d\n", r.QuotaStarts, r.KeyAnswers)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintln(w, "  ", v)
 	}
@@ -79,9 +85,13 @@
 		watchers.Go(func() { cs.probe(i, stop) })
 		watchers.Go(func() { cs.watchVersions(i, stop) })
 	}
+	if c.customers != nil {
+		watchers.Go(func() { cs.tryKeys(stop) })
+	}
 	time.Sleep(startupTime)
 	var faultsEndedAt time.Time
 	var faults sync.WaitGroup
+	faults.Go(func() { c.playChanges(s.CustomerChanges) })
 	faults.Go(func() {
 		c.play(s.Faults)
 		faultsEndedAt = time.Now()
@@ -95,6 +105,13 @@
 	}
 	close(stop)
 	watchers.Wait()
+	var quotaStarts int
+	if c.customers != nil {
+		cs.tryAllKeys()
+		cs.judgeKeys()
+		quotaStarts = cs.judgeQuotas()
+		c.judgeLogs()
+	}
 	if err := c.writeCancellations(cs.cancellations); err != nil {
 		return Result{}, err
 	}
@@ -107,6 +124,7 @@
 		Seed: s.Seed, Violations: c.allViolations(), Submitted: cs.submitted.Load(), Accepted: cs.accepted.Load(),
 		Rejected: cs.rejected.Load(), Unknown: cs.unknown.Load(), Completed: cs.completed.Load(), Failed: cs.failed.Load(),
 		Cancelled: cs.cancelled.Load(), Unanswered: cs.unanswered.Load(), Starts: c.fleet.Starts(), Owners: c.owners, BoundRuns: boundRuns, LongestBoundRun: longest, Recovery: recovery,
+		QuotaStarts: quotaStarts, KeyAnswers: len(cs.keyAnswers),
 	}, nil
 }
 
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -22,8 +23,14 @@
 	ReadinessPath = "/v1/readyz"
 	// DeadlineHeader is how long a caller waits for a response, in ms.
 	DeadlineHeader = "X-Gypsumwinch-Deadline-Ms"
+	// keyHeader and keyScheme carry the key of a caller.
+	keyHeader = "Authorization"
+	keyScheme = "Bearer "
 )
 
+// SetKey adds a customer's key to a call.
+func SetKey(header http.Header, key string) { header.Set(keyHeader, keyScheme+key) }
+
 // Route is a queue of a configuration.
 type Route struct {
 	Name            string
@@ -35,6 +42,17 @@
 	SlackFactor     float64
 	TargetLatencyMs float64
 	Advice          *Advice `json:",omitempty"`
+	// Public is true if calls need no key.
+	Public bool `json:",omitempty"`
+}
+
+// Customer is a customer of a configuration with its keys and its quota, of which 0 is no limit.
+type Customer struct {
+	Name     string
+	Keys     []string
+	Weight   float64
+	MilliCPU int64
+	MemoryMB int64
 }
 
 // Advice is the timing of the advice service of a queue.
@@ -44,12 +62,29 @@
 	ValidityMs float64
 }
 
-// PublishConfig writes a configuration as an operator does.
+// PublishConfig writes a configuration without customers as an operator does.
 func (s *Server) PublishConfig(version int64, routes []Route, service string) error {
-	value, err := json.Marshal(map[string]any{
-		"Version": version, "Routes": routes,
-		"Services": []map[string]any{{"Name": service, "AdmissionCheck": false}},
-	})
+	return s.publish(map[string]any{"Version": version, "Routes": routes, "Services": wireServices(service)})
+}
+
+// PublishCustomers writes a configuration with customers as an operator does.
+func (s *Server) PublishCustomers(version int64, routes []Route, service string, customers []Customer) error {
+	wire := make([]map[string]any, 0, len(customers))
+	for _, c := range customers {
+		wire = append(wire, map[string]any{
+			"Name": c.Name, "ApiKeys": c.Keys, "Priority": 1, "Weight": c.Weight,
+			"MaxCount": map[string]int64{"Cpu": c.MilliCPU, "MemMb": c.MemoryMB, "Gpu": 0},
+		})
+	}
+	return s.publish(map[string]any{"Version": version, "Routes": routes, "Services": wireServices(service), "Tenants": wire})
+}
+
+func wireServices(service string) []map[string]any {
+	return []map[string]any{{"Name": service, "AdmissionCheck": false}}
+}
+
+func (s *Server) publish(config map[string]any) error {
+	value, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
@@ -109,6 +144,8 @@
 	Grace         time.Duration
 	GangTimeout   time.Duration
 	StopTimeout   time.Duration
+	// QuotaOvershoot is the fraction by which customers may exceed their quota.
+	QuotaOvershoot float64
 }
 
 // WriteFile writes the settings file of the process.
@@ -126,6 +163,7 @@
 		"Bounds": map[string]any{
 			"MaxHoldMs": v.MaxLease.Milliseconds(), "GraceS": v.Grace.Seconds(), "status_s": 120,
 			"GangTimeoutMs": v.GangTimeout.Milliseconds(), "StopTimeoutMs": v.StopTimeout.Milliseconds(), "RemoteFactor": 2,
+			"QuotaOvershoot": v.QuotaOvershoot,
 		},
 	}, "", "  ")
 	if err != nil {
