Enforce the quotas of customers when tasks are placed

Nothing limited what the jobs of one customer had running on all workers. Package internal/cell/shares now counts the need of each open run for its customer, from its planning until it is closed, recovered runs of former owners included. placeStep places as many tasks as the quota of the newest configuration permits, gangs as a whole, and advice is queried for no more than that. A recorded start is not sent, and an unanswered one is not sent again, if the quota has been lowered below what is running.

--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -4,11 +4,14 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/shares"
 )
 
 // job is a job that is not in a final state or still has open runs.
 type job struct {
 	def *cell.Job
+	// account is that of the job's customer.
+	account *shares.Account
 	// queue is the job's queue as of queueConfig.
 	queue       *cell.Queue
 	queueConfig *cell.Config
@@ -58,6 +61,7 @@
 	idleSince time.Duration
 	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
 	acceptsAllWorkers bool
+	quotaWait         quotaWait
 }
 
 // task is one task of a step.
@@ -100,6 +104,7 @@
 	}
 	j := &job{
 		def:           e.Job,
+		account:       m.ledger.Account(e.Job.Customer),
 		state:         cell.StateQueued,
 		recordedState: cell.StateQueued,
 		steps:         map[cell.StepID]*step{},
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/shares"
 	"gypsumwinch/internal/structs"
 )
 
@@ -90,6 +91,8 @@
 	// recurringJobs are the jobs with occurrences that are not released yet.
 	recurringJobs map[cell.JobID]*job
 	statsByQueue  map[string]*queueStats
+	// ledger has what each customer has running, and its quota.
+	ledger *shares.Ledger
 	// storeReachedAt is when the last heartbeat was sent that the store accepted.
 	storeReachedAt time.Duration
 	// formerRenewalsEnd is until when a former owner may renew leases.
@@ -149,6 +152,7 @@
 		waitingSteps:   map[cell.StepID]*step{},
 		recurringJobs:  map[cell.JobID]*job{},
 		statsByQueue:   map[string]*queueStats{},
+		ledger:         shares.NewLedger(opts.QuotaOvershoot),
 		dirtyJobs:      map[cell.JobID]*job{},
 		startedJobs:    map[cell.JobID]*job{},
 		pendingBatches: map[int]*batch{},
@@ -168,6 +172,7 @@
 		m.cancelJob(e.Job)
 	case ConfigChanged:
 		m.config = e.Config
+		m.configureCustomers()
 		m.isCycleNeeded = true
 	case WorkersListed:
 		m.updateWorkers(e)
--- a/internal/cell/owner/resend.go
+++ b/internal/cell/owner/resend.go
@@ -62,6 +62,8 @@
 		return "worker does not have the label"
 	case !w.used.Fits(w.info.Capacity):
 		return "worker has too little capacity"
+	case m.isOverQuota(r):
+		return "quota of the customer has been lowered"
 	default:
 		return ""
 	}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -105,6 +105,7 @@
 	r.worker.addRun(r)
 	r.worker.used = r.worker.used.Add(r.allocated)
 	r.job.openRuns++
+	r.job.account.Open(r.share())
 	if r.step != nil {
 		r.step.openRuns++
 	} else {
@@ -126,6 +127,7 @@
 	w.removeRun(r)
 	w.used = w.used.Sub(r.allocated)
 	r.job.openRuns--
+	r.job.account.Close(r.share())
 	m.markDirty(r.job)
 	m.isCycleNeeded = true
 	if s := r.step; s != nil {
@@ -247,6 +249,8 @@
 		return "worker is not usable"
 	case r.ticket != "" && m.now.Mono >= r.ticketExpiresAt:
 		return "ticket has expired"
+	case m.isOverQuota(r):
+		return "quota of the customer has been lowered"
 	default:
 		return ""
 	}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -218,6 +218,9 @@
 		}
 		return
 	}
+	if pending = m.withinQuota(s, pending); len(pending) == 0 {
+		return
+	}
 	if s.def.Gang {
 		m.placeGang(s, q, pending)
 		return
@@ -237,7 +240,7 @@
 		m.finishPlanning(s, placed)
 	}
 	if remaining := len(pending) - placed; remaining > 0 && q.Advice != nil {
-		m.queryAdvice(s, q, remaining)
+		m.queryWithinQuota(s, q, remaining)
 	}
 }
 
@@ -263,7 +266,7 @@
 	permitted := m.permittedWorkers(s, q)
 	if !m.gangFits(s, q, permitted, len(pending)) {
 		if q.Advice != nil {
-			m.queryAdvice(s, q, len(pending))
+			m.queryWithinQuota(s, q, len(pending))
 		}
 		return
 	}
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -92,6 +92,8 @@
 	slowClocks bool
 	// cancellations makes callers cancel all jobs; see simcancel_test.go.
 	cancellations *simCancellations
+	// quotas gives the jobs customers with quotas that change; see simquota_test.go.
+	quotas *simQuotas
 }
 
 // reaches reports whether a request that was sent to an incarnation of a worker and
@@ -222,6 +224,9 @@
 		{Name: "long", Service: "desk", Priority: 1, MaxAttempts: 2, CriticalPathFactor: 3, Target: time.Second},
 	}}
 	s.config.Index()
+	if faults.quotas != nil {
+		s.publishQuotas()
+	}
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		s.workers[id] = &simWorker{sim: s, isUp: true, startedAt: 0, info: cell.Worker{
@@ -276,7 +281,7 @@
 		s.t.Logf("%v owner %d takes over", s.now, s.term)
 	}
 	o := &simOwner{sim: s, term: s.term, replica: newSimReplica()}
-	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
+	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, QuotaOvershoot: simOvershoot, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
 	s.owner = o
 	// The new owner knows when it last heard of the newest record.
 	heardAt := s.record.acceptedAt + time.Duration(s.rand.Int64N(int64(s.now-s.record.acceptedAt)+1))
@@ -290,7 +295,7 @@
 	}
 	o.apply(fenced)
 	s.record = recordOf(fenced.Bounds, s.now)
-	o.apply(ConfigChanged{Config: s.config})
+	o.apply(ConfigChanged{Config: s.configOfSuccessor()})
 	for _, id := range o.readAllJobs() {
 		j := s.jobs[id]
 		var p *cell.Progress
@@ -635,6 +640,9 @@
 		def.Repeat, def.FirstDueAt = 3, s.time().Wall
 		def.Interval = time.Second + time.Duration(s.rand.IntN(9000))*time.Millisecond
 	}
+	if s.faults.quotas != nil {
+		def.Customer = simCustomers[i%len(simCustomers)]
+	}
 	s.jobs[def.ID] = &simJob{def: def, state: cell.StateQueued, isAlwaysFailing: s.rand.Float64() < 0.03,
 		doneTasks: map[string]bool{}, acknowledgedTasks: map[string]bool{}, failures: map[string]int{}}
 	if s.faults.cancelFraction == 0 && s.faults.cancellations == nil {
@@ -708,6 +716,9 @@
 		s.after(length, func() { w.isPartitioned = false })
 	})
 	s.repeat(s.faults.silentInterval, trafficTime, s.silenceOwner)
+	if s.faults.quotas != nil {
+		s.repeatAlways(s.faults.quotas.changeInterval, trafficTime, s.changeQuotas)
+	}
 	s.repeat(s.faults.takeoverInterval, trafficTime, func() {
 		s.owner.isStopped = true
 		s.calm.disrupt(s.now)
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -95,6 +95,7 @@
 		s.t.Fatalf("%v task %s starts after %d failures", s.now, task, limit)
 	}
 	s.checkStartAfterCancellation(task, req)
+	s.checkQuota(j, task, step)
 	count := 0
 	for _, r := range w.runs {
 		if r.id.StepID == req.Task.StepID {
--- /dev/null
+++ b/internal/cell/shares/seed_test.go
@@ -0,0 +1,3 @@
+package shares
+
+import _ "gypsumwinch/internal/fixedseed"
