Share a full cell between customers by weight

While the workers of a service are full, equally urgent steps have their turns by the weighted dominant share of their customer instead of their deadlines, with what the cycle has placed so far. Jobs beyond a customer's weight a second follow all others and take no advice proxies from them. Without customers in the configuration, order and placement are the same (TestNothingChangesWithoutCustomers).

--- a/internal/cell/owner/advice.go
+++ b/internal/cell/owner/advice.go
@@ -350,7 +350,7 @@
 			due = len(s.tasks) - s.doneTasks
 		}
 	}
-	if due = m.prefetchWithinQuota(s, due); due > 0 && !m.gangFits(s, q, m.permittedWorkers(s, q), due) {
+	if due = m.prefetchWithinQuota(s, q, due); due > 0 && !m.gangFits(s, q, m.permittedWorkers(s, q), due) {
 		m.queryAdvice(s, q, due)
 	}
 	return isWaiting
--- a/internal/cell/owner/customers.go
+++ b/internal/cell/owner/customers.go
@@ -80,7 +80,7 @@
 // it for the tasks that found no worker.
 func (m *Machine) queryWithinQuota(s *step, q *cell.Queue, remaining int) {
 	remaining = s.job.account.Room(s.claim(remaining), m.cycle, shares.ForQueries)
-	if remaining == 0 {
+	if remaining == 0 || !m.mayQuery(s, q) {
 		return
 	}
 	m.queryAdvice(s, q, remaining)
@@ -91,7 +91,10 @@
 
 // prefetchWithinQuota returns how many of the tasks whose runs end with a lease may start again
 // by the quota once these runs are closed. prefetchAdvice calls it.
-func (m *Machine) prefetchWithinQuota(s *step, due int) int {
+func (m *Machine) prefetchWithinQuota(s *step, q *cell.Queue, due int) int {
+	if due == 0 || !m.mayQuery(s, q) {
+		return 0
+	}
 	claim := s.claim(due)
 	claim.Closing = due
 	return s.job.account.Room(claim, m.cycle, shares.ForQueries)
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -12,6 +12,8 @@
 	def *cell.Job
 	// account is that of the job's customer.
 	account *shares.Account
+	// isExcess is true for a job beyond the rate that its customer may submit.
+	isExcess bool
 	// queue is the job's queue as of queueConfig.
 	queue       *cell.Queue
 	queueConfig *cell.Config
@@ -114,6 +116,7 @@
 		j.state, j.recordedState = e.Progress.State, e.Progress.State
 	}
 	m.jobs[e.Job.ID] = j
+	m.contention.uncountedJobs = append(m.contention.uncountedJobs, j)
 	if j.state.IsFinal() {
 		m.recoverRuns(j, e.Progress)
 		m.removeIfFinished(j)
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -93,6 +93,8 @@
 	statsByQueue  map[string]*queueStats
 	// ledger has what each customer has running, and its quota.
 	ledger *shares.Ledger
+	// contention is what the order between customers depends on.
+	contention contention
 	// storeReachedAt is when the last heartbeat was sent that the store accepted.
 	storeReachedAt time.Duration
 	// formerRenewalsEnd is until when a former owner may renew leases.
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -13,6 +13,7 @@
 // in the order of their rank. Place calls it if anything has changed since
 // the last cycle.
 func (m *Machine) runCycle() {
+	m.countJobs()
 	steps := make([]rankedStep, 0, len(m.waitingSteps))
 	for _, s := range m.waitingSteps {
 		steps = append(steps, m.rankStep(s))
@@ -21,10 +22,14 @@
 	m.cycle++
 	m.updateQuarantineSuspension()
 	m.findUsableWorkers()
-	for _, r := range steps {
-		m.placeStep(r.step, r.queue)
-		m.addReservations(r.step)
-	}
+	m.placeInOrder(steps)
+}
+
+// placeRanked places a step and reserves what its queries are about. placeInOrder calls it for
+// each step in turn.
+func (m *Machine) placeRanked(r rankedStep) {
+	m.placeStep(r.step, r.queue)
+	m.addReservations(r.step)
 }
 
 // findUsableWorkers lists the workers that may get new tasks in this scheduling cycle. A
@@ -76,12 +81,10 @@
 // of all tasks take less than 0.85 of the mean.
 const requiredWorkFraction = 0.8
 
-// compare orders steps by lateness, then by priority, then by deadline.
-// runCycle sorts the waiting steps with it.
+// compare orders steps by urgency and then by deadline. runCycle sorts the waiting steps with it.
 func (r rankedStep) compare(o rankedStep) int {
 	return cmp.Or(
-		cmp.Compare(r.lateness, o.lateness),
-		cmp.Compare(r.queue.Priority, o.queue.Priority),
+		r.compareUrgency(o),
 		cmp.Compare(r.deadline, o.deadline),
 		cmp.Compare(r.step.id.Job, o.step.id.Job),
 		cmp.Compare(r.step.id.Occurrence, o.step.id.Occurrence),
@@ -89,6 +92,19 @@
 	)
 }
 
+// compareUrgency orders steps by lateness, then by priority. Steps of excess jobs follow all
+// others: also the late ones, which earn a part of their worth, and those without any, which
+// have to run too. placeInOrder shares capacity between the customers of equally urgent steps.
+func (r rankedStep) compareUrgency(o rankedStep) int {
+	if r.step.job.isExcess != o.step.job.isExcess {
+		if r.step.job.isExcess {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.queue.Priority, o.queue.Priority))
+}
+
 // objective returns the duration, counted from the job's submission, within
 // which the job should finish. It is an estimate, not a point in time. rankStep calls it in each cycle, since the queue's mean run
 // time changes.
--- a/internal/cell/owner/simquota_test.go
+++ b/internal/cell/owner/simquota_test.go
@@ -45,8 +45,8 @@
 	config := *s.config
 	config.Version++
 	config.Customers = &cell.Customers{List: []cell.Customer{
-		{Name: "cores", Weight: 100, MaxRunning: structs.Resources{MilliCPU: int64(13000 + s.rand.IntN(2)*13000)}},
-		{Name: "memory", Weight: 100, MaxRunning: structs.Resources{MilliCPU: 60000, MemoryMB: int64(9200 + s.rand.IntN(2)*9000)}},
+		{Name: "cores", Weight: 1, MaxRunning: structs.Resources{MilliCPU: int64(13000 + s.rand.IntN(2)*13000)}},
+		{Name: "memory", Weight: 2, MaxRunning: structs.Resources{MilliCPU: 60000, MemoryMB: int64(9200 + s.rand.IntN(2)*9000)}},
 	}}
 	config.Index()
 	q := s.faults.quotas
--- a/internal/cell/shares/shares.go
+++ b/internal/cell/shares/shares.go
@@ -17,6 +17,9 @@
 package shares
 
 import (
+	"iter"
+	"maps"
+
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/structs"
 )
@@ -60,6 +63,9 @@
 	return a
 }
 
+// Accounts returns all accounts in any order.
+func (l *Ledger) Accounts() iter.Seq[*Account] { return maps.Values(l.accounts) }
+
 // Account is the usage of one customer.
 type Account struct {
 	// Name is the customer's name; empty for jobs without a customer.
@@ -77,6 +83,10 @@
 	// wait for; see Hold.
 	heldByGangs, heldByQueries structs.Resources
 	heldInCycle                int
+
+	// bucket limits the rate of submissions; excessJobs counts those beyond it.
+	bucket     bucket
+	excessJobs int
 }
 
 // Run is the part of a run that counts for its customer.
