--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -4,11 +4,16 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/shares"
 )
 
 // job is a job that is not in a final state or still has open runs.
 type job struct {
 	def *cell.Job
+	// account is that of the job's customer.
+	account *shares.Account
+	// isExcess is true for a job beyond the rate that its customer may submit.
+	isExcess bool
 	// queue is the job's queue as of queueConfig.
 	queue       *cell.Queue
 	queueConfig *cell.Config
@@ -58,6 +63,7 @@
 	idleSince time.Duration
 	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
 	acceptsAllWorkers bool
+	quotaWait         quotaWait
 }
 
 // task is one task of a step.
@@ -100,6 +106,7 @@
 	}
 	j := &job{
 		def:           e.Job,
+		account:       m.ledger.Account(e.Job.Customer),
 		state:         cell.StateQueued,
 		recordedState: cell.StateQueued,
 		steps:         map[cell.StepID]*step{},
@@ -109,6 +116,7 @@
 		j.state, j.recordedState = e.Progress.State, e.Progress.State
 	}
 	m.jobs[e.Job.ID] = j
+	m.contention.uncountedJobs = append(m.contention.uncountedJobs, j)
 	if j.state.IsFinal() {
 		m.recoverRuns(j, e.Progress)
 		m.removeIfFinished(j)
