Log and measure the load of customers

The owner wrote only the load of the whole cell, so that an operator could not see which customer waits for its quota. Once a second it now logs the ten customers with the most tasks, and sets metrics for them.

--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -327,6 +327,7 @@
 	c.log.Info("load of the cell", "term", c.term, "usable_workers", l.UsableWorkers,
 		"cpu", l.Capacity.MilliCPU, "cpu_used", l.Used.MilliCPU, "memory", l.Capacity.MemoryMB, "memory_used", l.Used.MemoryMB,
 		"waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "free_lanes", capacity.FreeProxies, "free_lanes_long", capacity.FreeForLongQueries)
+	c.logCustomers()
 }
 
 // logAdviceResult logs the result of one attempt of an advice query, answered
--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -20,7 +20,8 @@
 	ownerTerm      prometheus.Gauge
 	knownJobs      prometheus.GaugeFunc
 	// expiredJobs is the number of jobs past their retention that the owner still keeps.
-	expiredJobs prometheus.Gauge
+	expiredJobs   prometheus.Gauge
+	customerLoads *customerLoads
 }
 
 // newMetrics registers the metrics of a node. jobs returns the number of known
@@ -54,6 +55,7 @@
 			Name: "gypsumwinch_expired_jobs", Help: "Ended jobs that this VM, as the owner, keeps past their retention.",
 		}),
 	}
+	m.customerLoads = newCustomerLoads(m.registry)
 	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs)
 	return m
 }
