--- a/internal/cell/owner/customers.go
+++ b/internal/cell/owner/customers.go
@@ -14,6 +14,8 @@
 	// since is when the wait began, if isWaiting; it lasts until tasks may start.
 	isWaiting bool
 	since     time.Duration
+	// isLogged is true once a wait of the step was logged.
+	isLogged bool
 }
 
 // quotaHoldLimit is how long a gang that waits for its customer's quota keeps steps after it from
@@ -49,22 +51,36 @@
 	claim := s.claim(len(pending))
 	n := s.job.account.Room(claim, m.cycle, shares.ForPlacement)
 	if n > 0 {
-		s.quotaWait = quotaWait{}
-		return pending[:n]
+		s.quotaWait.isWaiting = false
+	} else {
+		m.startQuotaWait(s, claim)
 	}
-	m.startQuotaWait(s, claim)
-	if s.def.Gang && m.now.Mono-s.quotaWait.since < quotaHoldLimit && s.job.account.CanDrainFor(claim) {
-		s.job.account.Hold(claim, m.cycle)
+	m.holdQuota(s, len(pending)-n)
+	return pending[:n]
+}
+
+// holdQuota holds room in the quota for tasks of a step that wait for it, against the steps
+// after it in the cycle: those of a gang for quotaHoldLimit, and long-running ones, which must
+// not be without a run for seconds. withinQuota calls it.
+func (m *Machine) holdQuota(s *step, waiting int) {
+	claim := s.claim(waiting)
+	isHeld := s.def.LongRunning || s.def.Gang && m.now.Mono-s.quotaWait.since < quotaHoldLimit
+	if waiting > 0 && isHeld && s.job.account.CanDrainFor(claim) {
+		s.job.account.Hold(claim, m.cycle, shares.ForPlacement)
 	}
-	return nil
 }
 
-// startQuotaWait marks a step as waiting for its customer's quota, and logs it once for each wait.
+// startQuotaWait marks a step as waiting for its customer's quota, and logs the first wait:
+// the tasks of a wide step start one by one as others end.
 func (m *Machine) startQuotaWait(s *step, claim shares.Claim) {
 	if s.quotaWait.isWaiting {
 		return
 	}
-	s.quotaWait = quotaWait{isWaiting: true, since: m.now.Mono}
+	s.quotaWait.isWaiting, s.quotaWait.since = true, m.now.Mono
+	if s.quotaWait.isLogged {
+		return
+	}
+	s.quotaWait.isLogged = true
 	a := s.job.account
 	message := "step waits for the quota of its customer"
 	if a.NeverFits(claim) {
@@ -84,9 +100,14 @@
 		return
 	}
 	m.queryAdvice(s, q, remaining)
-	if s.advice.queriesInFlight > 0 {
-		s.job.account.Hold(s.claim(remaining), m.cycle)
+	if s.advice.queriesInFlight == 0 {
+		return
+	}
+	purpose := shares.ForQueries
+	if s.def.Gang {
+		purpose = shares.ForPlacement
 	}
+	s.job.account.Hold(s.claim(remaining), m.cycle, purpose)
 }
 
 // prefetchWithinQuota returns how many of the tasks whose runs end with a lease may start again
--- a/internal/cell/owner/customers_test.go
+++ b/internal/cell/owner/customers_test.go
@@ -195,3 +195,26 @@
 	f.scheduleAndRecord()
 	is.Equal(len(actionsOf[QueryAdvice](f)), 0)
 }
+
+// TestLongRunningTaskGetsQuotaFirst guards a long-running task without a run against smaller
+// tasks of its customer that take each part of the quota that becomes free.
+func TestLongRunningTaskGetsQuotaFirst(t *testing.T) {
+	is := is.New(t)
+	f := newQuotaFixture(t, 1000)
+	f.apply(JobSubmitted{Job: customerJob("a", newStep(1, 300))})
+	f.apply(JobSubmitted{Job: customerJob("b", newStep(1, 600))})
+	is.Equal(f.starts(), 2)
+	lasting := newStep(1, 400)
+	lasting.LongRunning = true
+	f.apply(JobSubmitted{Job: customerJob("lasts", lasting)})
+	small := customerJob("small", newStep(3, 100))
+	small.Steps[0].Estimate = 2 * time.Second // a later deadline
+	f.apply(JobSubmitted{Job: small})
+	f.now += quotaHoldLimit
+	is.Equal(f.starts(), 0)
+	f.finishedRuns = []cell.FinishedRun{{Number: 1, Task: "a.0.0.0", Run: 1, Outcome: cell.OutcomeDone}}
+	f.answerRenewal(cell.ActiveRun{Task: "b.0.0.0", Run: 1})
+	f.scheduleAndRecord()
+	is.Equal(actionsOf[SendStart](f)[0].Start.Task.Job, cell.JobID("lasts"))
+	is.Equal(len(actionsOf[SendStart](f)), 1)
+}
--- a/internal/cell/shares/quota.go
+++ b/internal/cell/shares/quota.go
@@ -17,7 +17,8 @@
 type Purpose int
 
 const (
-	// ForPlacement is the start of tasks. Gangs that rank before the step and wait hold room.
+	// ForPlacement is the start of tasks. Gangs and long-running tasks that rank before the step
+	// and wait hold room.
 	ForPlacement Purpose = iota
 	// ForQueries is to ask the advice service about workers. All steps that rank before the
 	// step and wait for answers hold room.
@@ -90,23 +91,23 @@
 	return a.runs > size.Tasks || a.roomAlone(size) < size.Tasks
 }
 
-// Hold keeps room for a step that waits from the steps after it in the scheduling cycle: a gang
-// that waits for workers or for the quota, which would otherwise never be free at once, or
-// tasks that queries in flight are about.
-func (a *Account) Hold(c Claim, cycle int) {
+// Hold keeps room for a step that waits from the steps after it in the scheduling cycle: for
+// placement, that of a gang or of a long-running task, which smaller tasks would take as it
+// becomes free; for queries only, that of tasks that queries in flight are about.
+func (a *Account) Hold(c Claim, cycle int, purpose Purpose) {
 	if a.heldInCycle != cycle {
 		a.heldInCycle = cycle
-		a.heldByGangs, a.heldByQueries = structs.Resources{}, structs.Resources{}
+		a.heldForPlacement, a.heldForQueries = structs.Resources{}, structs.Resources{}
 	}
 	need := c.Need.Times(int64(c.Tasks))
-	if c.IsGang {
-		a.heldByGangs = a.heldByGangs.Add(need)
+	if purpose == ForPlacement {
+		a.heldForPlacement = a.heldForPlacement.Add(need)
 	}
-	a.heldByQueries = a.heldByQueries.Add(need)
+	a.heldForQueries = a.heldForQueries.Add(need)
 }
 
-// CanDrainFor reports whether a gang fits into the quota once all tasks have ended that end by
-// themselves. Only then it is of use to hold room for it.
+// CanDrainFor reports whether tasks fit into the quota once all those have ended that end by
+// themselves. Only then it is of use to hold room for them.
 func (a *Account) CanDrainFor(c Claim) bool {
 	return countWithin(a.quota, a.lasting, c.Need, c.Tasks) == c.Tasks
 }
@@ -117,9 +118,9 @@
 	case a.heldInCycle != cycle:
 		return structs.Resources{}
 	case purpose == ForQueries:
-		return a.heldByQueries
+		return a.heldForQueries
 	default:
-		return a.heldByGangs
+		return a.heldForPlacement
 	}
 }
 
--- a/internal/cell/shares/quota_test.go
+++ b/internal/cell/shares/quota_test.go
@@ -45,7 +45,7 @@
 					t.Fatalf("%d of the %d tasks of a gang may start", n, c.Tasks)
 				}
 				if n == 0 {
-					a.Hold(c, cycle)
+					a.Hold(c, cycle, ForPlacement)
 					return
 				}
 				before := a.running
--- a/internal/cell/shares/shares.go
+++ b/internal/cell/shares/shares.go
@@ -79,10 +79,10 @@
 	// long-running tasks.
 	running, lasting structs.Resources
 	runs             int
-	// heldByGangs and heldByQueries are what earlier steps of scheduling cycle heldInCycle
-	// wait for; see Hold.
-	heldByGangs, heldByQueries structs.Resources
-	heldInCycle                int
+	// heldForPlacement and heldForQueries are what earlier steps of scheduling cycle
+	// heldInCycle wait for; see Hold.
+	heldForPlacement, heldForQueries structs.Resources
+	heldInCycle                      int
 
 	// bucket limits the rate of submissions; excessJobs counts those beyond it.
 	bucket     bucket
