--- a/internal/cell/node/customermetrics.go
+++ b/internal/cell/node/customermetrics.go
@@ -91,6 +91,14 @@
 	return len(config.Customers.List)
 }
 
+// customerDetails returns the customer of a job for a log line, if it has one.
+func customerDetails(job *cell.Job) []any {
+	if job.Customer == "" {
+		return nil
+	}
+	return []any{"customer", job.Customer}
+}
+
 // CountInvalidKey records a call on a queue whose key is missing, malformed, unknown or revoked.
 // It runs on the goroutine of the call.
 func (n *Node) CountInvalidKey(queue string) {
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -90,7 +90,7 @@
 	}
 	n.countRequest("submit", "accepted")
 	n.customerMetrics.count(job.Customer, outcomeAccepted)
-	n.log.Info("job is accepted", "id", string(job.ID), "queue", job.Queue.Name, "customer", job.Customer, "steps", len(job.Steps))
+	n.log.Info("job is accepted", append([]any{"id", string(job.ID), "queue", job.Queue.Name, "steps", len(job.Steps)}, customerDetails(job)...)...)
 	return nil
 }
 
@@ -113,8 +113,8 @@
 // outage refuses every submission. Submit calls it when the record could not
 // be appended.
 func (n *Node) logRefusal(job *cell.Job, err error) {
-	n.logLimited(&n.refusalLimiter, "job is not accepted", "id", string(job.ID), "queue", job.Queue.Name, "customer", job.Customer,
-		"outcome", requestOutcome(err), "error", err.Error())
+	details := []any{"id", string(job.ID), "queue", job.Queue.Name, "outcome", requestOutcome(err), "error", err.Error()}
+	n.logLimited(&n.refusalLimiter, "job is not accepted", append(details, customerDetails(job)...)...)
 }
 
 // logLimited logs a line about a caller's request, subject to the rate limit of its
