--- a/internal/fileproblem/fileproblem.go
+++ b/internal/fileproblem/fileproblem.go
@@ -14,7 +14,9 @@
 	// File is the name of the document.
 	File string `json:"file"`
 	// Line counts from 1. It is 0 if the fault belongs to no single line.
-	Line   int    `json:"line"`
+	Line int `json:"line"`
+	// Column counts the characters of the line from 1. It is 0 if it is not known.
+	Column int    `json:"column,omitempty"`
 	Reason string `json:"reason"`
 }
 
@@ -27,6 +29,14 @@
 	return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Reason)
 }
 
+// Text returns the problem as "file:line:column: reason", without the column if that is 0.
+func (p Problem) Text() string {
+	if p.Line == 0 || p.Column == 0 {
+		return p.String()
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Reason)
+}
+
 // Problems is the error for a faulty document. It holds every fault found.
 type Problems []Problem
 
--- a/internal/jsonindex/jsonindex.go
+++ b/internal/jsonindex/jsonindex.go
@@ -9,6 +9,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // maxDepth limits the nesting of the values that are indexed. Deeper ones have the
@@ -178,6 +179,24 @@
 	return 1
 }
 
+// Column returns the column of the value at path, or of the innermost existing value that should
+// contain it.
+func (x *Index) Column(path Path) int {
+	for n := len(path); n >= 0; n-- {
+		if v, ok := x.Find(path[:n]); ok {
+			return x.ColumnAt(v.start)
+		}
+	}
+	return 1
+}
+
+// ColumnAt returns the column of the byte at offset, in characters. The first column is 1.
+func (x *Index) ColumnAt(offset int64) int {
+	offset = max(0, min(offset, int64(len(x.data))))
+	lineStart := bytes.LastIndexByte(x.data[:offset], '\n') + 1
+	return 1 + utf8.RuneCount(x.data[lineStart:offset])
+}
+
 // LineAt returns the line of the byte at offset. The first line is 1.
 func (x *Index) LineAt(offset int64) int {
 	offset = max(0, min(offset, int64(len(x.data))))
