--- a/internal/cell/customer.go
+++ b/internal/cell/customer.go
@@ -31,8 +31,9 @@
 type Customers struct {
 	// List has the customers in the order of the configuration.
 	List []Customer
-	// Keys maps each API key's hash to the index of its customer in List.
-	Keys map[KeyHash]int
+	// Keys maps each API key's hash to the index of its customer in List. JSON, in which tests
+	// write configurations, has no such map.
+	Keys map[KeyHash]int `json:"-"`
 	// byName is built by Config.Index.
 	byName map[string]*Customer
 }
