owner: expect the learned run time of a step

The expected run time was the mean of the caller's estimate and of the queue, whatever the error of the estimates and the kind of the work. With Options.LearnRunTimes it comes from package expect, which learns from runs that did all the work of their task and whose start this owner has sent. Without the option nothing changes.

--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -78,6 +78,7 @@
 	if r.startedAt > 0 {
 		m.updateMeanRunTime(r, m.now.Mono-r.startedAt)
 	}
+	m.learnFrom(r)
 	m.completeTask(s, r.id.Index)
 }
 
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/expect"
 )
 
 // job is a job that is not in a final state or still has open runs.
@@ -24,7 +25,9 @@
 	// openOccurrences counts the released occurrences that are not done.
 	openOccurrences int
 	submittedAt     time.Duration
-	finishedAt      time.Time
+	// expectations has the predicted run time of each step; see learnedRunTime.
+	expectations []expectation
+	finishedAt   time.Time
 	// hasLongRecord is true once the record of the job was too long for the store.
 	hasLongRecord bool
 	// openRuns counts the runs that are not closed.
@@ -56,6 +59,8 @@
 	failedAtByWorker map[string]time.Duration
 	// idleSince is when the step became ready or its last open run was closed.
 	idleSince time.Duration
+	// siblings has the finished runs of the step whose workers are not compared yet.
+	siblings *expect.Siblings
 	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
 	acceptsAllWorkers bool
 }
--- a/internal/cell/owner/liveness_test.go
+++ b/internal/cell/owner/liveness_test.go
@@ -508,7 +508,7 @@
 func (s *liveSim) takeOver() {
 	s.term++
 	o := &liveOwner{sim: s, term: s.term}
-	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: liveGangTimeout, RemoteFactor: 1.5, OwnedAt: s.now, Seed: s.rand.Uint64()}, s.time())
+	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: liveGangTimeout, RemoteFactor: 1.5, LearnRunTimes: true, OwnedAt: s.now, Seed: s.rand.Uint64()}, s.time())
 	if s.sc.ownersEnd {
 		o.machine.Apply(s.time(), FormerOwnersFenced{RenewalsEnd: s.now})
 	}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -24,6 +24,9 @@
 	// QuotaOvershoot is the fraction by which what a customer has running may exceed its
 	// quota.
 	QuotaOvershoot float64
+	// LearnRunTimes makes the owner learn run times and the speeds of workers from finished
+	// runs; otherwise it expects the mean of a caller's estimate and of the queue.
+	LearnRunTimes bool
 	// OwnedAt is when the claim of this term was sent, on the clock of Time.Mono.
 	OwnedAt time.Duration
 	Seed    uint64
@@ -90,6 +93,7 @@
 	// recurringJobs are the jobs with occurrences that are not released yet.
 	recurringJobs map[cell.JobID]*job
 	statsByQueue  map[string]*queueStats
+	learning      learning
 	// storeReachedAt is when the last heartbeat was sent that the store accepted.
 	storeReachedAt time.Duration
 	// formerRenewalsEnd is until when a former owner may renew leases.
@@ -149,6 +153,7 @@
 		waitingSteps:   map[cell.StepID]*step{},
 		recurringJobs:  map[cell.JobID]*job{},
 		statsByQueue:   map[string]*queueStats{},
+		learning:       newLearning(opts),
 		dirtyJobs:      map[cell.JobID]*job{},
 		startedJobs:    map[cell.JobID]*job{},
 		pendingBatches: map[int]*batch{},
@@ -240,6 +245,7 @@
 		m.tickWorker(w)
 	}
 	m.updateLeaseStatement()
+	m.logLearned()
 	if len(m.waitingSteps) > 0 {
 		m.isCycleNeeded = true
 	}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -69,6 +69,8 @@
 	// mustResend is true while the start request has to be sent again.
 	mustResend  bool
 	isRecovered bool
+	// isResumed is true if the run began from a checkpoint.
+	isResumed   bool
 	firstSentAt time.Duration
 	nextSendAt  time.Duration
 	// acknowledgedAt is when this owner received the worker's confirmation of
@@ -259,6 +261,7 @@
 	r.isRequestInFlight = true
 	r.requestBorn = w.info.Born
 	r.mustResend = false
+	r.isResumed = r.isResumed || r.step.checkpointOf(r.id.Index) != ""
 	m.emit(SendStart{Start: cell.Start{
 		Task:       r.id,
 		Run:        r.number,
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -119,11 +119,14 @@
 	return longest
 }
 
-// expectedRunTime estimates the run time of a step. It is the mean of the
-// caller's estimate, which is rough, and the mean run time of the queue, once
-// that is known. objective and remainingRunTime call it for the steps of a job
+// expectedRunTime estimates the run time of a step: the learned one or, if run
+// times are not learned, the mean of the caller's estimate, which is rough, and
+// the mean run time of the queue, once that is known. objective and remainingRunTime call it for the steps of a job
 // in each scheduling cycle in which a step of the job waits and is ranked.
 func (m *Machine) expectedRunTime(j *job, step int) time.Duration {
+	if m.learning.model != nil {
+		return m.learnedRunTime(j, step)
+	}
 	estimate := j.def.Steps[step].Estimate
 	if mean := m.statsFor(j.def.Queue.Name).meanRunTime; mean > 0 {
 		return (estimate + mean) / 2
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -276,7 +276,7 @@
 		s.t.Logf("%v owner %d takes over", s.now, s.term)
 	}
 	o := &simOwner{sim: s, term: s.term, replica: newSimReplica()}
-	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
+	o.machine = New(Options{Term: s.term, LeaseLimit: simLeaseLimit, GangTimeout: simGangTimeout, RemoteFactor: 2, LearnRunTimes: true, OwnedAt: s.now, Seed: uint64(s.term)}, s.time())
 	s.owner = o
 	// The new owner knows when it last heard of the newest record.
 	heardAt := s.record.acceptedAt + time.Duration(s.rand.Int64N(int64(s.now-s.record.acceptedAt)+1))
