--- a/cmd/gypsumwinchd/main.go
+++ b/cmd/gypsumwinchd/main.go
@@ -39,6 +39,7 @@
 	devConfig := flag.String("dev-config", "testdata/cluster.yaml", "with -dev: configuration file to publish at start")
 	devListen := flag.String("dev-listen", "127.0.0.1:7000", "with -dev: address for callers and operators")
 	onPlatform := flag.Bool("platform", false, "run on the users' platform, with the settings file that $GYPSUMWINCH_BOOT names")
+	learnRunTimes := flag.Bool("learned-run-times", true, "with -platform: learn run times and the speeds of workers from finished runs")
 	flag.Parse()
 
 	// The context ends at the first signal. Later signals have no effect, so that
@@ -46,7 +47,7 @@
 	stopCtx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if *onPlatform {
-		return runOnPlatform(stopCtx)
+		return runOnPlatform(stopCtx, *learnRunTimes)
 	}
 	if *dev {
 		return runDev(stopCtx, *devListen, *devConfig)
--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -69,7 +69,7 @@
 // part of it fails, and returns the exit code. run calls it for -platform. The
 // addresses of the store and of the advice service follow changes of the
 // settings file; the other settings are fixed at start.
-func runOnPlatform(stopCtx context.Context) int {
+func runOnPlatform(stopCtx context.Context, learnRunTimes bool) int {
 	// The signal would end the process if it came before this call. It stays caught
 	// until the process exits.
 	settingsChanged := make(chan os.Signal, 1)
@@ -87,7 +87,7 @@
 	defer cancel()
 	go watchSettings(ctx, settingsChanged, currentSettings)
 
-	n := node.New(nodeSettings(settings), node.Ports{
+	n := node.New(nodeSettings(settings, learnRunTimes), node.Ports{
 		Store:   platform.NewStore(func() string { return currentSettings.Load().StoreAddr }),
 		Workers: platform.NewWorkerClient(settings.MaxFiles),
 		Advisor: platform.NewAdvisor(func() string { return currentSettings.Load().AdviceAddr }),
@@ -193,7 +193,7 @@
 
 // nodeSettings converts the platform's settings to those of the node.
 // runOnPlatform calls it once at start.
-func nodeSettings(s platform.Settings) node.Settings {
+func nodeSettings(s platform.Settings, learnRunTimes bool) node.Settings {
 	return node.Settings{
 		Name:            s.Name,
 		DataCentre:      s.DataCentre,
@@ -206,6 +206,7 @@
 		Grace:           s.GracePeriod,
 		RemoteFactor:    s.RemoteFactor,
 		QuotaOvershoot:  s.QuotaOvershoot,
+		LearnRunTimes:   learnRunTimes,
 		OnOwnership:     setGCPercent,
 	}
 }
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -159,6 +159,7 @@
 			GangTimeout:    n.settings.GangTimeout,
 			RemoteFactor:   n.settings.RemoteFactor,
 			QuotaOvershoot: n.settings.QuotaOvershoot,
+			LearnRunTimes:  n.settings.LearnRunTimes,
 			OwnedAt:        n.election.OwnedAt(),
 			Seed:           uint64(bootTime()),
 		}, eventTime()),
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -77,8 +77,8 @@
 	// CPUCores is the CPU capacity of the VM in cores, usually a fraction of one.
 	// VMs with more of it claim the cell first.
 	CPUCores float64
-	// LeaseLimit, GangTimeout, RemoteFactor and QuotaOvershoot are passed to the state
-	// machine; see owner.Options.
+	// LeaseLimit, GangTimeout, RemoteFactor, QuotaOvershoot and LearnRunTimes are passed to
+	// the state machine; see owner.Options.
 	LeaseLimit  time.Duration
 	GangTimeout time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
@@ -87,6 +87,7 @@
 	Grace          time.Duration
 	RemoteFactor   float64
 	QuotaOvershoot float64
+	LearnRunTimes  bool
 	// OnOwnership, if set, is called when this VM begins to own the cell, with true, and
 	// when that ends. The calls do not overlap.
 	OnOwnership func(owns bool)
