owner: place by the learned speeds of workers

A gang takes as long as its slowest member, and work with little slack is late there. Gangs now take workers of one class, and ask about fast ones; steps with little time left prefer fast workers, those with much time slow ones. This applies only to workers whose difference exceeds its uncertainty; otherwise, and where only workers of the other speed have room, the choice is best fit as before.

--- a/internal/cell/owner/candidates.go
+++ b/internal/cell/owner/candidates.go
@@ -122,12 +122,19 @@
 // with the highest rank are queried first. Workers known to be eligible rank
 // high and suspect ones low. Queries of a gang take long, so they prefer the
 // workers with the most free capacity. Other steps prefer the fullest
-// workers, which leaves the emptier ones to gangs.
+// workers, which leaves the emptier ones to gangs. Workers of the speed that the
+// step prefers rank higher, where speeds are known to differ; a gang asks about fast ones,
+// since tickets for some slow ones among others would slow down all its members.
 func (m *Machine) rateCandidate(w *worker, s *step, tasks, eligibleFraction float64) candidate {
 	c := candidate{worker: w, expectedTasks: tasks, possibleTasks: int(tasks), rank: tasks + m.rand.Float64()}
 	if !s.def.Gang {
 		c.rank = -m.freeCPUFractionAfter(w, scaleResources(s.def.Charge(), tasks)) - fullnessJitter*m.rand.Float64()
 	}
+	if s.def.Gang {
+		c.rank -= gangSpeedRank * speedPenaltyOf(w, prefersFast)
+	} else {
+		c.rank -= speedPenaltyOf(w, s.speedPreference)
+	}
 	if s.advice.eligibleByWorker[w.info.ID] {
 		c.rank += 1000
 	} else {
--- a/internal/cell/owner/expectations.go
+++ b/internal/cell/owner/expectations.go
@@ -24,6 +24,10 @@
 	// model is nil if Options.LearnRunTimes is false.
 	model    *expect.Model
 	loggedAt time.Duration
+	// speedsAt is when the speeds of workers were last applied; slowWorkers and fastWorkers
+	// count those with another than the usual speed.
+	speedsAt                 time.Duration
+	slowWorkers, fastWorkers int
 }
 
 // expectation is a predicted run time and when it was computed.
@@ -131,6 +135,7 @@
 			q.Queue, q.Median.Milliseconds(), q.Spread, q.EstimateRatio, q.EstimateSpread, q.EstimateWeight, q.Samples)
 	}
 	if queues.Len() > 0 {
-		m.logDecision("cell", "learned run times", "queues", strings.TrimSuffix(queues.String(), "; "))
+		m.logDecision("cell", "learned run times", "queues", strings.TrimSuffix(queues.String(), "; "),
+			"slow_workers", m.learning.slowWorkers, "fast_workers", m.learning.fastWorkers)
 	}
 }
--- a/internal/cell/owner/expectations_test.go
+++ b/internal/cell/owner/expectations_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,14 +25,16 @@
 	return f
 }
 
-// runJob places a job, confirms its starts and lists its runs as done after a time.
-func (f *fixture) runJob(job *cell.Job, runTime time.Duration) {
+// runJob places a job, confirms its starts, lists its runs as done after a time and returns the
+// tasks with their workers.
+func (f *fixture) runJob(job *cell.Job, runTime time.Duration) (placed []string) {
 	f.t.Helper()
 	f.apply(JobSubmitted{Job: job})
 	f.clearActions()
 	f.scheduleAndRecord()
 	starts := actionsOf[SendStart](f)
 	for _, s := range starts {
+		placed = append(placed, s.Start.Task.String()+" "+s.Start.Worker)
 		f.apply(StartResult{Task: s.Start.Task, Run: s.Start.Run, Worker: s.Start.Worker})
 	}
 	f.now += runTime
@@ -40,11 +44,12 @@
 		finished[s.Start.Worker] = append(finished[s.Start.Worker],
 			cell.FinishedRun{Number: number, Task: s.Start.Task.String(), Run: s.Start.Run, Outcome: cell.OutcomeDone})
 	}
-	for id, runs := range finished {
-		f.apply(RenewResult{Worker: id, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1, FinishedRuns: runs}})
+	for _, id := range slices.Sorted(maps.Keys(finished)) {
+		f.apply(RenewResult{Worker: id, SentAt: f.now, Inventory: cell.Inventory{Clock: f.now, Born: 1, FinishedRuns: finished[id]}})
 	}
 	f.scheduleAndRecord()
 	f.clearActions()
+	return placed
 }
 
 // TestExpectedRunTimeIsLearned guards against run times that stay at a rough estimate although
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -59,6 +59,8 @@
 	failedAtByWorker map[string]time.Duration
 	// idleSince is when the step became ready or its last open run was closed.
 	idleSince time.Duration
+	// speedPreference is which workers the step prefers in the present scheduling cycle.
+	speedPreference speedPreference
 	// siblings has the finished runs of the step whose workers are not compared yet.
 	siblings *expect.Siblings
 	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -13,6 +13,7 @@
 // in the order of their rank. Place calls it if anything has changed since
 // the last cycle.
 func (m *Machine) runCycle() {
+	m.refreshSpeeds()
 	steps := make([]rankedStep, 0, len(m.waitingSteps))
 	for _, s := range m.waitingSteps {
 		steps = append(steps, m.rankStep(s))
@@ -60,7 +61,8 @@
 	q := m.currentQueue(s.job)
 	objective := m.objective(s.job, q)
 	r := rankedStep{step: s, queue: q, deadline: s.job.submittedAt + objective}
-	finishTime := m.now.Mono - s.job.submittedAt + time.Duration(requiredWorkFraction*float64(m.remainingRunTime(s.job)))
+	remaining := m.remainingRunTime(s.job)
+	finishTime := m.now.Mono - s.job.submittedAt + time.Duration(requiredWorkFraction*float64(remaining))
 	switch {
 	case s.def.LongRunning || s.job.def.Repeat > 0:
 	case finishTime > maxLateFactor*objective:
@@ -68,6 +70,7 @@
 	case finishTime > objective:
 		r.lateness = 1
 	}
+	s.speedPreference = m.preferredSpeed(r, remaining)
 	return r
 }
 
@@ -270,6 +273,7 @@
 		}
 		return
 	}
+	m.alignGang(s, q, permitted, len(pending))
 	number := s.lastRunNumber + 1
 	for _, i := range pending {
 		m.planRun(s, i, number, m.chooseWorker(s, q, permitted))
@@ -389,9 +393,10 @@
 }
 
 // scoreWorker rates a worker for a task by best fit, which keeps large
-// amounts of free capacity for large tasks. consider calls it.
+// amounts of free capacity for large tasks, and by the speed that the step
+// prefers, where speeds are known to differ. consider calls it.
 func (m *Machine) scoreWorker(w *worker, s *step) float64 {
-	score := m.freeCPUFractionAfter(w, s.def.Charge())
+	score := m.freeCPUFractionAfter(w, s.def.Charge()) + speedPenaltyOf(w, s.speedPreference)
 	if m.isLastChoice(s, w) {
 		score += lastChoicePenalty
 	}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -74,6 +74,9 @@
 	// backoffUntil is the time before which the worker gets no new tasks.
 	backoffUntil time.Duration
 	health       health
+	// slowness is the logarithm of the learned factor by which runs take longer here, or 0
+	// if the speed is not known to differ from the usual one.
+	slowness float64
 }
 
 // runKey identifies a run on a worker.
