owner: count own failed runs and waves in the finish objective

The objective that a caller is owed counts the runs that fail by the work's own fault, and the waves of a step that is wider than a quarter of the room or than its customer may run. Without them a gang counted as late after its first failed run and went behind work with more time. Both count only with learned run times. A test plays such a gang with and without them.

--- a/internal/cell/owner/expectations.go
+++ b/internal/cell/owner/expectations.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"gypsumwinch/internal/cell/expect"
+	"gypsumwinch/internal/structs"
 )
 
 const (
-	// expectationTTL is how long a predicted run time is used before it is computed again.
+	// expectationTTL is how long an expectation of a step is used before it is computed again.
 	// Every scheduling cycle ranks all waiting steps, and runs every few milliseconds.
 	expectationTTL = 500 * time.Millisecond
 	// learnedLogInterval is the time between two log lines about what was learned.
@@ -28,21 +29,15 @@
 	// count those with another than the usual speed.
 	speedsAt                 time.Duration
 	slowWorkers, fastWorkers int
-}
-
-// expectation is a predicted run time and when it was computed.
-type expectation struct {
-	mean time.Duration
-	at   time.Duration
-	// isSet is false before the first prediction.
-	isSet bool
+	// rooms is the capacity of all listed workers, by service, as of speedsAt.
+	rooms map[string]structs.Resources
 }
 
 func newLearning(opts Options) learning {
 	if !opts.LearnRunTimes {
 		return learning{}
 	}
-	return learning{model: expect.NewModel(opts.RemoteFactor)}
+	return learning{model: expect.NewModel(opts.RemoteFactor), rooms: map[string]structs.Resources{}}
 }
 
 // workOf describes a step of a job to the model.
@@ -57,14 +52,7 @@
 // learnedRunTime predicts the mean run time of a step's task on a worker of usual speed.
 // expectedRunTime calls it if run times are learned.
 func (m *Machine) learnedRunTime(j *job, step int) time.Duration {
-	if j.expectations == nil {
-		j.expectations = make([]expectation, len(j.def.Steps))
-	}
-	e := &j.expectations[step]
-	if !e.isSet || m.now.Mono-e.at >= expectationTTL {
-		*e = expectation{mean: m.learning.model.RunTime(m.now.Mono, workOf(j, step)).Mean, at: m.now.Mono, isSet: true}
-	}
-	return e.mean
+	return m.expectationOf(j, step).mean
 }
 
 // learnFrom adds a run with outcome done, or the whole gang of such a run, to the model.
--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -177,6 +177,7 @@
 		t.failedRuns++
 		failures = t.failedRuns
 	}
+	r.job.expectations = nil
 	m.logDecision(r.taskName, "run failed", "run", r.number, "worker", r.worker.info.ID, "failures", failures, "limit", limit)
 	if limit > 0 && failures >= limit {
 		m.logDecision(string(r.job.def.ID), "job is given up", "task", r.taskName, "failures", failures)
--- /dev/null
+++ b/internal/cell/owner/objective.go
@@ -0,0 +1,118 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/structs"
+)
+
+// The finish objective of a job as its caller is owed it counts the runs that fail by the work's
+// own fault, and the waves of a step that is too wide to run at once. A job is otherwise taken
+// for a late one as soon as a run has failed, and goes behind work that has more time.
+
+// waveRoomFraction is the fraction of the capacity of a service's workers that a step may count
+// on; a wider one takes several waves.
+const waveRoomFraction = 0.25
+
+// expectation is what is expected of one step of a job, and when it was computed.
+type expectation struct {
+	// mean is the run time of a task, failures are the failed runs of a gang or, of another
+	// step, those of the task with the most. width is how many tasks may run at once.
+	mean     time.Duration
+	failures int
+	width    int
+	at       time.Duration
+	// isSet is false before the first computation.
+	isSet bool
+}
+
+// expectationOf returns what is expected of a step of a job. It is computed again after
+// expectationTTL and after a failed run of the job. learnedRunTime, owedRunTime and
+// remainingStepTime call it.
+func (m *Machine) expectationOf(j *job, step int) *expectation {
+	if j.expectations == nil {
+		j.expectations = make([]expectation, len(j.def.Steps))
+	}
+	e := &j.expectations[step]
+	if !e.isSet || m.now.Mono-e.at >= expectationTTL {
+		*e = expectation{
+			mean:     m.learning.model.RunTime(m.now.Mono, workOf(j, step)).Mean,
+			failures: failuresOf(j, step),
+			width:    m.waveWidth(j, &j.def.Steps[step]),
+			at:       m.now.Mono, isSet: true,
+		}
+	}
+	return e
+}
+
+// owedRunTime returns the time of a step that counts in the finish objective.
+func (m *Machine) owedRunTime(j *job, step int) time.Duration {
+	if m.learning.model == nil {
+		return m.expectedRunTime(j, step)
+	}
+	e := m.expectationOf(j, step)
+	return time.Duration(e.failures+wavesOf(j.def.Steps[step].Count, e.width)) * e.mean
+}
+
+// remainingStepTime returns the time that the unfinished tasks of a step need. remainingRunTime
+// calls it for each step that is not done.
+func (m *Machine) remainingStepTime(j *job, step int) time.Duration {
+	if m.learning.model == nil {
+		return m.expectedRunTime(j, step)
+	}
+	e := m.expectationOf(j, step)
+	remaining := j.def.Steps[step].Count
+	if s := j.steps[cell.StepID{Job: j.def.ID, Step: step}]; s != nil && j.def.Repeat == 0 {
+		remaining -= s.doneTasks
+	}
+	return time.Duration(wavesOf(remaining, e.width)) * e.mean
+}
+
+// failuresOf counts the failed runs of a step, 0 for a repeated job, which is never late.
+func failuresOf(j *job, step int) int {
+	s := j.steps[cell.StepID{Job: j.def.ID, Step: step}]
+	if s == nil || j.def.Repeat > 0 {
+		return 0
+	}
+	failures := s.gangFailures
+	for i := range s.tasks {
+		failures = max(failures, s.tasks[i].failedRuns)
+	}
+	return failures
+}
+
+// wavesOf returns how many times width tasks must run one after the other.
+func wavesOf(tasks, width int) int {
+	return max((tasks+width-1)/width, 1)
+}
+
+// waveWidth returns how many tasks of a step may count on running at once: as many as fit into
+// waveRoomFraction of the workers, and as the customer may run. The members of a gang run at
+// once in any case.
+func (m *Machine) waveWidth(j *job, s *cell.Step) int {
+	if s.Gang {
+		return s.Count
+	}
+	width := s.Count
+	if room, ok := m.learning.rooms[m.currentQueue(j).Service]; ok {
+		width = min(width, countFitting(s.Charge(), scaleResources(room, waveRoomFraction)))
+	}
+	if m.config != nil {
+		if c := m.config.Customer(j.def.Customer); c != nil {
+			width = min(width, countFitting(s.Need, orUnlimited(c.MaxRunning)))
+		}
+	}
+	return max(width, 1)
+}
+
+// orUnlimited replaces the amounts of a quota that are 0, which is no limit.
+func orUnlimited(r structs.Resources) structs.Resources {
+	for _, amount := range []*int64{&r.MilliCPU, &r.MemoryMB, &r.Accelerators} {
+		if *amount == 0 {
+			*amount = math.MaxInt64
+		}
+	}
+	return r
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -100,7 +100,7 @@
 	if q.Advice != nil {
 		advice = q.Advice.AnswerTime(queryWorkers)
 	}
-	path := criticalPath(j.def.Steps, func(i int) time.Duration { return m.expectedRunTime(j, i) + advice })
+	path := criticalPath(j.def.Steps, func(i int) time.Duration { return m.owedRunTime(j, i) + advice })
 	return q.Target + time.Duration(q.CriticalPathFactor*float64(path))
 }
 
@@ -124,7 +124,7 @@
 
 // expectedRunTime estimates the run time of a step: the learned one or, if run
 // times are not learned, the mean of the caller's estimate, which is rough, and
-// the mean run time of the queue, once that is known. objective and remainingRunTime call it for the steps of a job
+// the mean run time of the queue, once that is known. owedRunTime and remainingStepTime call it for the steps of a job
 // in each scheduling cycle in which a step of the job waits and is ranked.
 func (m *Machine) expectedRunTime(j *job, step int) time.Duration {
 	if m.learning.model != nil {
@@ -149,7 +149,7 @@
 		if !isOpen[i] {
 			return 0
 		}
-		return m.expectedRunTime(j, i)
+		return m.remainingStepTime(j, i)
 	})
 }
 
--- a/internal/cell/owner/speeds.go
+++ b/internal/cell/owner/speeds.go
@@ -36,7 +36,7 @@
 	gangSpeedRank = 100
 )
 
-// refreshSpeeds applies the learned speeds to the workers. A worker whose difference from the
+// refreshSpeeds applies the learned speeds to the workers and adds up their capacity. A worker whose difference from the
 // usual speed does not exceed its uncertainty counts as one of usual speed. runCycle calls it.
 func (m *Machine) refreshSpeeds() {
 	l := &m.learning
@@ -45,7 +45,11 @@
 	}
 	l.speedsAt = m.now.Mono
 	l.slowWorkers, l.fastWorkers = 0, 0
+	clear(l.rooms)
 	for _, w := range m.sortedWorkers {
+		if w.isListed {
+			l.rooms[w.info.Service] = l.rooms[w.info.Service].Add(w.info.Capacity)
+		}
 		w.slowness = 0
 		speed := l.model.WorkerSpeed(m.now.Mono, w.info.ID, w.info.Born)
 		if !speed.IsDistinct() {
