expect: need less certainty where a part of the workers is known to be distinct

Of a gang only members with distinct speeds correct its run time, since the highest of many uncertain values is too high.

--- a/internal/cell/expect/expect.go
+++ b/internal/cell/expect/expect.go
@@ -156,10 +156,7 @@
 	if s.IsRemote {
 		logTime -= m.remoteLog
 	}
-	slowness := math.Inf(-1)
-	for _, w := range s.Workers {
-		slowness = max(slowness, m.speedAt(now, w).mean)
-	}
+	slowness := m.slownessOf(now, s.Workers)
 	before := m.predict(now, s.Work)
 	switch {
 	case s.Siblings != nil:
@@ -173,6 +170,24 @@
 	m.observeSize(now, s.Work, logTime-slowness, before)
 }
 
+// slownessOf returns the logarithm of the factor by which the slowest of some workers is slower
+// than usual. The highest of many uncertain values is too high, so that only distinct speeds of
+// a gang's members count.
+func (m *Model) slownessOf(now time.Duration, workers []Incarnation) float64 {
+	if len(workers) == 1 {
+		return m.speedAt(now, workers[0]).mean
+	}
+	slowest := math.Inf(-1)
+	for _, w := range workers {
+		slowness := 0.0
+		if s := m.speedAt(now, w); s.speed().IsDistinct(DistinctDeviations) {
+			slowness = s.mean
+		}
+		slowest = max(slowest, slowness)
+	}
+	return slowest
+}
+
 // RunTime predicts the run time of a task on a worker of usual speed, near its data.
 func (m *Model) RunTime(now time.Duration, work Work) Prediction {
 	p := m.predict(now, work)
--- a/internal/cell/expect/expect_test.go
+++ b/internal/cell/expect/expect_test.go
@@ -64,7 +64,7 @@
 	work.Estimate = 3 * time.Second
 	is.Equal(m.RunTime(0, work).Mean, 3*time.Second)
 	is.Equal(m.WorkerSpeed(0, "w", 1).Factor, 1.0)
-	is.True(!m.WorkerSpeed(0, "w", 1).IsDistinct())
+	is.True(!m.WorkerSpeed(0, "w", 1).IsDistinct(DistinctDeviations))
 }
 
 // TestEstimateCountsByItsError guards against a weight of the caller's estimate that does not
@@ -148,7 +148,7 @@
 			found, mistaken := 0, 0
 			for i := range g.slowness {
 				s := m.WorkerSpeed(time.Minute, fmt.Sprint(i), 1)
-				switch isSlow := s.IsDistinct() && s.Factor < 1; {
+				switch isSlow := s.IsDistinct(DistinctDeviations) && s.Factor < 1; {
 				case isSlow && i%4 == 0:
 					found++
 				case isSlow:
@@ -172,7 +172,7 @@
 	}
 	distinct := 0
 	for i := range g.slowness {
-		if m.WorkerSpeed(time.Minute, fmt.Sprint(i), 1).IsDistinct() {
+		if m.WorkerSpeed(time.Minute, fmt.Sprint(i), 1).IsDistinct(DistinctDeviations) {
 			distinct++
 		}
 	}
@@ -189,9 +189,9 @@
 		m.observeWorker(0, Incarnation{"w", 1}, math.Log(2), 0.05, 1)
 	}
 	before, after := m.WorkerSpeed(0, "w", 1), m.WorkerSpeed(0, "w", 2)
-	is.True(before.IsDistinct() && before.Factor < 0.6)
+	is.True(before.IsDistinct(DistinctDeviations) && before.Factor < 0.6)
 	is.Equal(after.Factor, before.Factor)
-	is.True(!after.IsDistinct())
+	is.True(!after.IsDistinct(DistinctDeviations))
 	for range 10 {
 		m.observeWorker(0, Incarnation{"w", 2}, 0, 0.05, 1)
 	}
@@ -209,7 +209,7 @@
 		work.Tasks = 50
 		m.ObserveDone(0, Sample{Work: work, RunTime: 5 * time.Second, Workers: []Incarnation{{"w", 1}}, Siblings: siblings, IsLast: i == 49})
 	}
-	is.True(!m.WorkerSpeed(0, "w", 1).IsDistinct())
+	is.True(!m.WorkerSpeed(0, "w", 1).IsDistinct(DistinctDeviations))
 }
 
 // TestRemoteRunsAreCorrected guards against sizes and speeds that are learned from runs outside
--- a/internal/cell/expect/speed.go
+++ b/internal/cell/expect/speed.go
@@ -52,11 +52,20 @@
 	Samples int
 }
 
-// IsDistinct reports whether the speed differs from the usual one by more than its uncertainty.
-// Beyond 2.5 deviations is one value in 80 of a normal distribution; minRatio keeps small
-// differences from changing placements.
-func (s Speed) IsDistinct() bool {
-	const deviations, minRatio = 2.5, 1.15
+// Deviations by which a speed must differ from the usual one.
+const (
+	// DistinctDeviations applies where workers usually have one speed: beyond it is one value
+	// in 80 of a normal distribution.
+	DistinctDeviations = 2.5
+	// MixedDeviations applies where a part of the workers is known to be distinct, so that
+	// another one is more likely to be.
+	MixedDeviations = 1.5
+)
+
+// IsDistinct reports whether the speed differs from the usual one by more than a number of its
+// deviations, and by enough to matter.
+func (s Speed) IsDistinct(deviations float64) bool {
+	const minRatio = 1.15
 	difference := math.Abs(math.Log(s.Factor))
 	return s.Samples >= minSpeedSamples && difference >= math.Log(minRatio) && difference >= deviations*s.Deviation
 }
@@ -64,7 +73,10 @@
 // WorkerSpeed returns the learned speed of an incarnation of a worker. Of a worker without
 // samples it is 1.
 func (m *Model) WorkerSpeed(now time.Duration, worker string, born int64) Speed {
-	s := m.speedAt(now, Incarnation{Worker: worker, Born: born})
+	return m.speedAt(now, Incarnation{Worker: worker, Born: born}).speed()
+}
+
+func (s workerSpeed) speed() Speed {
 	return Speed{Factor: math.Exp(-s.mean), Deviation: math.Sqrt(s.variance), Samples: s.samples}
 }
 
--- a/internal/cell/owner/speeds.go
+++ b/internal/cell/owner/speeds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/expect"
 )
 
 // speedPreference is which workers a step prefers, where the speeds of workers are known to
@@ -21,6 +22,9 @@
 const (
 	// speedRefreshInterval is how often the learned speeds are applied to the workers.
 	speedRefreshInterval = 500 * time.Millisecond
+	// mixedFraction is the fraction of distinct workers from which the deployment counts as
+	// one of mixed speeds. It is a multiple of the fraction that noise makes distinct.
+	mixedFraction = 0.05
 	// littleSlack and muchSlack are multiples of the expected remaining run time that a job
 	// has left. The slowest workers known take twice as long as the usual ones, and part of
 	// the time is spent waiting: below littleSlack a step prefers fast workers, from
@@ -36,23 +40,36 @@
 	gangSpeedRank = 100
 )
 
-// refreshSpeeds applies the learned speeds to the workers and adds up their capacity. A worker whose difference from the
-// usual speed does not exceed its uncertainty counts as one of usual speed. runCycle calls it.
+// refreshSpeeds applies the learned speeds to the workers and adds up their capacity. A worker
+// whose difference from the usual speed does not exceed its uncertainty counts as one of usual
+// speed. runCycle calls it.
 func (m *Machine) refreshSpeeds() {
 	l := &m.learning
 	if l.model == nil || l.speedsAt > 0 && m.now.Mono-l.speedsAt < speedRefreshInterval {
 		return
 	}
 	l.speedsAt = m.now.Mono
-	l.slowWorkers, l.fastWorkers = 0, 0
 	clear(l.rooms)
 	for _, w := range m.sortedWorkers {
 		if w.isListed {
 			l.rooms[w.info.Service] = l.rooms[w.info.Service].Add(w.info.Capacity)
 		}
+	}
+	m.applySpeeds(expect.DistinctDeviations)
+	if float64(l.slowWorkers+l.fastWorkers) >= mixedFraction*float64(len(m.sortedWorkers)) {
+		m.applySpeeds(expect.MixedDeviations)
+	}
+}
+
+// applySpeeds sets the slowness of each worker whose speed differs from the usual one by more
+// than a number of deviations. refreshSpeeds calls it.
+func (m *Machine) applySpeeds(deviations float64) {
+	l := &m.learning
+	l.slowWorkers, l.fastWorkers = 0, 0
+	for _, w := range m.sortedWorkers {
 		w.slowness = 0
 		speed := l.model.WorkerSpeed(m.now.Mono, w.info.ID, w.info.Born)
-		if !speed.IsDistinct() {
+		if !speed.IsDistinct(deviations) {
 			continue
 		}
 		w.slowness = -math.Log(speed.Factor)
