--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -14,6 +14,7 @@
 // the last cycle.
 func (m *Machine) runCycle() {
 	m.countJobs()
+	m.refreshSpeeds()
 	steps := make([]rankedStep, 0, len(m.waitingSteps))
 	for _, s := range m.waitingSteps {
 		steps = append(steps, m.rankStep(s))
@@ -65,7 +66,8 @@
 	q := m.currentQueue(s.job)
 	objective := m.objective(s.job, q)
 	r := rankedStep{step: s, queue: q, deadline: s.job.submittedAt + objective}
-	finishTime := m.now.Mono - s.job.submittedAt + time.Duration(requiredWorkFraction*float64(m.remainingRunTime(s.job)))
+	remaining := m.remainingRunTime(s.job)
+	finishTime := m.now.Mono - s.job.submittedAt + time.Duration(requiredWorkFraction*float64(remaining))
 	switch {
 	case s.def.LongRunning || s.job.def.Repeat > 0:
 	case finishTime > maxLateFactor*objective:
@@ -73,6 +75,7 @@
 	case finishTime > objective:
 		r.lateness = 1
 	}
+	s.speedPreference = m.preferredSpeed(r, remaining)
 	return r
 }
 
@@ -113,7 +116,7 @@
 	if q.Advice != nil {
 		advice = q.Advice.AnswerTime(queryWorkers)
 	}
-	path := criticalPath(j.def.Steps, func(i int) time.Duration { return m.expectedRunTime(j, i) + advice })
+	path := criticalPath(j.def.Steps, func(i int) time.Duration { return m.owedRunTime(j, i) + advice })
 	return q.Target + time.Duration(q.CriticalPathFactor*float64(path))
 }
 
@@ -135,11 +138,14 @@
 	return longest
 }
 
-// expectedRunTime estimates the run time of a step. It is the mean of the
-// caller's estimate, which is rough, and the mean run time of the queue, once
-// that is known. objective and remainingRunTime call it for the steps of a job
+// expectedRunTime estimates the run time of a step: the learned one or, if run
+// times are not learned, the mean of the caller's estimate, which is rough, and
+// the mean run time of the queue, once that is known. owedRunTime and remainingStepTime call it for the steps of a job
 // in each scheduling cycle in which a step of the job waits and is ranked.
 func (m *Machine) expectedRunTime(j *job, step int) time.Duration {
+	if m.learning.model != nil {
+		return m.learnedRunTime(j, step)
+	}
 	estimate := j.def.Steps[step].Estimate
 	if mean := m.statsFor(j.def.Queue.Name).meanRunTime; mean > 0 {
 		return (estimate + mean) / 2
@@ -159,7 +165,7 @@
 		if !isOpen[i] {
 			return 0
 		}
-		return m.expectedRunTime(j, i)
+		return m.remainingStepTime(j, i)
 	})
 }
 
@@ -286,6 +292,7 @@
 		}
 		return
 	}
+	m.alignGang(s, q, permitted, len(pending))
 	number := s.lastRunNumber + 1
 	for _, i := range pending {
 		m.planRun(s, i, number, m.chooseWorker(s, q, permitted))
@@ -405,9 +412,10 @@
 }
 
 // scoreWorker rates a worker for a task by best fit, which keeps large
-// amounts of free capacity for large tasks. consider calls it.
+// amounts of free capacity for large tasks, and by the speed that the step
+// prefers, where speeds are known to differ. consider calls it.
 func (m *Machine) scoreWorker(w *worker, s *step) float64 {
-	score := m.freeCPUFractionAfter(w, s.def.Charge())
+	score := m.freeCPUFractionAfter(w, s.def.Charge()) + speedPenaltyOf(w, s.speedPreference)
 	if m.isLastChoice(s, w) {
 		score += lastChoicePenalty
 	}
