owner: judge failures and pacing by their cause

Change: package pacing sets the paces, and the time for which a run is slowed down does not count as lack of progress. Package failurerate weighs the failures on a worker. A long-running task at work clears the suspicion against its worker, does not block its trial and waits by its own time. A step that has idled for 1.5 s tries a suspect worker with one task while under half of its service is in use.

--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -74,7 +74,7 @@
 		s.tasks[r.id.Index].notBefore = m.now.Mono + restartDelay
 		return
 	}
-	r.worker.health.countSuccess()
+	m.recordSucceededRun(r)
 	if r.startedAt > 0 {
 		m.updateMeanRunTime(r, m.now.Mono-r.startedAt)
 	}
--- a/internal/cell/owner/health.go
+++ b/internal/cell/owner/health.go
@@ -1,10 +1,13 @@
 package owner
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/failurerate"
 )
 
 // health tracks failed runs of a worker, to detect workers on which all runs
@@ -17,6 +20,8 @@
 	// count, since a job that can never succeed has many failed runs.
 	lastFailedJob cell.JobID
 	lastFailureAt time.Duration
+	// record holds the counted failures of which the work is known, with their weights.
+	record failurerate.Record
 }
 
 const (
@@ -24,6 +29,10 @@
 	// quarantined. A single failure is usually the fault of the task: 2 to 4 in
 	// 100 runs fail.
 	suspectFailures = 2
+	// suspectEvidence is the weight of failures from which a worker is quarantined. Two
+	// failures of work of which 8 in 100 runs fail suffice, as many as of the queue with the
+	// most failures, three failures of work of which 19 in 100 runs fail.
+	suspectEvidence = 1.4
 	// minQuarantine is the length of the first quarantine; each further failed
 	// job doubles it.
 	minQuarantine = time.Second
@@ -46,51 +55,71 @@
 	idleAvoidLimit = 1500 * time.Millisecond
 )
 
-// countFailure counts a failed run of a job on the worker. recordFailedRun
+// countFailure counts a failed run of a job on the worker, and returns whether it
+// counts. recordFailedRun
 // calls it for each run that finished with outcome failed or was stuck; runs
 // that were stopped, lost or ended with their gang do not count. A further
 // failure of the last counted job only moves lastFailureAt, but a failure of
 // any other job counts again, also of one that was counted before. So failedJobs
 // rises with each failure if two jobs fail in turn, and can exceed the number
 // of different jobs.
-func (h *health) countFailure(now time.Duration, job cell.JobID) {
+func (h *health) countFailure(now time.Duration, job cell.JobID) bool {
 	h.lastFailureAt = now
 	if h.failedJobs > 0 && h.lastFailedJob == job {
-		return
+		return false
 	}
 	h.failedJobs++
 	h.lastFailedJob = job
+	return true
 }
 
 // countSuccess resets the count of failed jobs, so that the worker is no
-// longer suspect. handleSucceededRun calls it for each run that completed
-// its task, except those of long-running tasks.
-func (h *health) countSuccess() { h.failedJobs = 0 }
+// longer suspect. recordSucceededRun calls it for each run that completed
+// its task and each run of a long-running task that is at work.
+func (h *health) countSuccess() {
+	h.failedJobs = 0
+	h.record = failurerate.Record{}
+}
+
+// evidence returns how many failures of work that usually succeeds the counted failures
+// weigh as much as.
+func (h *health) evidence() float64 { return float64(h.failedJobs) - h.record.Explained() }
 
-// isSuspect reports whether runs of several jobs in a row failed on a worker.
+// isSuspect reports whether runs of several jobs in a row failed on a worker, of work
+// that fails less often on other workers.
 // After its quarantine a suspect worker gets one task at a time until one
 // succeeds.
-func (h *health) isSuspect() bool { return h.failedJobs >= suspectFailures }
+func (h *health) isSuspect() bool {
+	return h.failedJobs >= suspectFailures && h.evidence() >= suspectEvidence
+}
 
 // isQuarantined reports whether a worker gets no tasks for now because it is
 // suspect and its last failure is recent. Scheduling cycles call it.
 func (h *health) isQuarantined(now time.Duration) bool {
-	if !h.isSuspect() {
-		return false
-	}
-	duration := min(minQuarantine<<min(h.failedJobs-suspectFailures, 10), maxQuarantine)
-	return now-h.lastFailureAt < duration
+	return h.isSuspect() && now-h.lastFailureAt < h.quarantine()
+}
+
+// quarantine returns how long a suspect worker gets no tasks after its last failure.
+func (h *health) quarantine() time.Duration {
+	doublings := min(max(int(math.Round(h.evidence()))-suspectFailures, 0), 10)
+	return min(minQuarantine<<doublings, maxQuarantine)
 }
 
 // updateQuarantineSuspension decides whether quarantines apply in this
 // scheduling cycle. It runs at the start of each one.
 func (m *Machine) updateQuarantineSuspension() {
-	quarantined := 0
+	m.weighFailures()
+	quarantined, suspects := 0, 0
 	for _, w := range m.sortedWorkers {
+		if !w.health.isSuspect() {
+			continue
+		}
+		suspects++
 		if w.health.isQuarantined(m.now.Mono) {
 			quarantined++
 		}
 	}
+	m.measureUsedCPU(suspects > 0)
 	m.isQuarantineSuspended = float64(quarantined) > maxQuarantinedFraction*float64(len(m.sortedWorkers))
 }
 
@@ -103,19 +132,117 @@
 		return n
 	case s.acceptsAllWorkers && m.now.Mono-w.health.lastFailureAt >= idleQuarantine:
 		return n
+	case m.mustTrySuspectWorkers(s):
+		return s.limitOfTrial(n)
 	case w.health.isQuarantined(m.now.Mono):
 		return 0
 	default:
-		return min(n, 1-len(w.runs))
+		return min(n, 1-w.runsThatMayEnd())
+	}
+}
+
+// runsThatMayEnd counts the runs of a worker but those of long-running tasks that are at work:
+// these do not end, so that the worker would never be tried with another task.
+func (w *worker) runsThatMayEnd() int {
+	n := 0
+	for _, r := range w.runList {
+		if r.workObservedAt == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// mustTrySuspectWorkers reports whether a step that accepts all workers starts on suspect ones
+// although their last failure is recent. The worker may fail again, which costs an attempt;
+// but the failures may have been those of the work, and a job that could run may have
+// nothing running for 3 s while under half of its service is in use. In a fuller cell the
+// step waits for the other workers. A long-running task has no limit of attempts and must
+// run at any time within 9 s of its last run.
+func (m *Machine) mustTrySuspectWorkers(s *step) bool {
+	if !s.acceptsAllWorkers {
+		return false
+	}
+	if s.def.LongRunning && m.now.Mono-s.waitingSince >= idleQuarantine {
+		return true
+	}
+	used, known := m.usedCPUByService[m.currentQueue(s.job).Service]
+	return known && used < maxUsedForTrials
+}
+
+// maxUsedForTrials is the part of the CPUs of a service below which mustTrySuspectWorkers
+// applies.
+const maxUsedForTrials = 0.5
+
+// limitOfTrial returns how many of n tasks a step that must start on suspect workers
+// may start there: one, so that the others keep their attempts. A gang starts as a whole,
+// and each long-running task must run.
+func (s *step) limitOfTrial(n int) int {
+	if s.def.Gang || s.def.LongRunning {
+		return n
+	}
+	return min(n, 1-s.openRuns)
+}
+
+// measureUsedCPU measures the fraction of the CPUs of each service that is in use, if any
+// worker is suspect; see mustTrySuspectWorkers.
+func (m *Machine) measureUsedCPU(isNeeded bool) {
+	m.usedCPUByService = nil
+	if !isNeeded {
+		return
+	}
+	used, capacity := map[string]int64{}, map[string]int64{}
+	for _, w := range m.sortedWorkers {
+		if w.isListed {
+			used[w.info.Service] += w.used.MilliCPU
+			capacity[w.info.Service] += w.info.Capacity.MilliCPU
+		}
+	}
+	m.usedCPUByService = map[string]float64{}
+	for service, total := range capacity {
+		if total > 0 {
+			m.usedCPUByService[service] = float64(used[service]) / float64(total)
+		}
 	}
 }
 
 // mustAcceptAllWorkers reports whether a step has had no run for idleAvoidLimit, so
 // that it no longer avoids workers. placeStep calls it once in each scheduling cycle:
 // the answer must not change while the step's tasks are placed. Each task of a
-// long-running step must run, whether others do or not.
+// long-running step must run, whether others do or not, so that the one that has waited
+// longest counts first; see acceptWorkersFor.
 func (m *Machine) mustAcceptAllWorkers(s *step) bool {
-	return (s.openRuns == 0 || s.def.LongRunning) && m.now.Mono-s.idleSince >= idleAvoidLimit
+	if !s.def.LongRunning {
+		return s.openRuns == 0 && m.now.Mono-s.idleSince >= idleAvoidLimit
+	}
+	s.waitingSince = m.now.Mono
+	for i := range s.tasks {
+		if s.tasks[i].run == nil && !s.tasks[i].isDone {
+			s.waitingSince = min(s.waitingSince, s.taskIdleSince(i))
+		}
+	}
+	return m.now.Mono-s.waitingSince >= idleAvoidLimit
+}
+
+// acceptWorkersFor sets which workers a long-running step accepts for one of its tasks,
+// which has a waiting time of its own: in a step of many tasks some run always ended a short
+// time ago. placeStep calls it before it places each task.
+func (m *Machine) acceptWorkersFor(s *step, index int) {
+	if s.def.LongRunning {
+		s.waitingSince = s.taskIdleSince(index)
+		s.acceptsAllWorkers = m.now.Mono-s.waitingSince >= idleAvoidLimit
+	}
+}
+
+// taskIdleSince returns since when a task without a run has been waiting for one.
+func (s *step) taskIdleSince(index int) time.Duration {
+	return max(s.tasks[index].idleSince, s.readyAt)
+}
+
+// sortByWaitingTime sorts tasks without a run by their waiting time, the longest first, since
+// the tasks behind the first one that finds no worker are not placed.
+func (s *step) sortByWaitingTime(indexes []int) {
+	slices.SortStableFunc(indexes, func(a, b int) int { return cmp.Compare(s.taskIdleSince(a), s.taskIdleSince(b)) })
 }
 
 // avoidsWorker reports whether a run of a step recently failed on a worker, unless
@@ -136,20 +263,6 @@
 	return w.health.isSuspect() || m.failedRecentlyOn(s, w)
 }
 
-// recordFailedRun counts a run that failed or was stuck against its worker's
-// health, and makes its step avoid that worker for workerAvoidTTL.
-// handleFailedRun and stopStuckRuns call it. Nothing is stored.
-func (m *Machine) recordFailedRun(r *run) {
-	r.worker.health.countFailure(m.now.Mono, r.job.def.ID)
-	if r.step == nil {
-		return
-	}
-	if r.step.failedAtByWorker == nil {
-		r.step.failedAtByWorker = map[string]time.Duration{}
-	}
-	r.step.failedAtByWorker[r.worker.info.ID] = m.now.Mono
-}
-
 const (
 	// minStuckTimeout is the minimum time without progress after which a run
 	// counts as stuck. Runs of the shortest tasks advance by one percent every
@@ -184,7 +297,8 @@
 
 // isStuck reports whether a run is stuck: it is listed as active, and its worker has listed
 // the same progress for minStuckTimeout or, if longer, stuckRunTimeFraction of the
-// step's expected run time, on the worker's clock. Runs of long-running tasks, runs at
+// step's expected run time, on the worker's clock. The time for which the owner slowed the run
+// down does not count (excludePacedTime). Runs of long-running tasks, runs at
 // maxProgressPercent and runs without a step are never stuck. Members of a gang make
 // progress only while all of them run, so the time of a gang begins with its last
 // member. stopStuckRuns calls it for each run of a worker.
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/failurerate"
 )
 
 // job is a job that is not in a final state or still has open runs.
@@ -56,8 +57,14 @@
 	failedAtByWorker map[string]time.Duration
 	// idleSince is when the step became ready or its last open run was closed.
 	idleSince time.Duration
-	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
+	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it, for a
+	// long-running step before it places each task.
 	acceptsAllWorkers bool
+	// waitingSince is since when the task of a long-running step that is to be placed has had no
+	// run; placeStep sets it.
+	waitingSince time.Duration
+	// outcomes are those of the finished runs of the step.
+	outcomes failurerate.Outcomes
 }
 
 // task is one task of a step.
@@ -69,6 +76,8 @@
 	checkpoint string
 	// notBefore delays the restart of a long-running task.
 	notBefore time.Duration
+	// idleSince is when the last run was closed, or 0.
+	idleSince time.Duration
 }
 
 // currentQueue returns a job's queue as configured now, or as it was at
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/failurerate"
 	"gypsumwinch/internal/structs"
 )
 
@@ -119,6 +120,13 @@
 	cycle          int
 	// isQuarantineSuspended is true while quarantines do not apply.
 	isQuarantineSuspended bool
+	// failureRates are those of the work; mustWeighFailures is true if failures on workers
+	// have changed since they were last weighed.
+	failureRates      *failurerate.Model
+	mustWeighFailures bool
+	// usedCPUByService is the fraction of the CPUs in use in the current scheduling cycle; nil
+	// if no worker is suspect.
+	usedCPUByService map[string]float64
 	// firstContacts counts the recent renewals to workers that have not answered this
 	// owner, from each Tick on; see maxFirstContacts.
 	firstContacts int
@@ -154,6 +162,7 @@
 		pendingBatches: map[int]*batch{},
 		formerBounds:   map[string]LeaseBound{},
 		removedStated:  map[string]int64{},
+		failureRates:   failurerate.New(),
 	}
 }
 
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -84,6 +84,9 @@
 	// unknown because a former owner may have set it or a request failed.
 	pacePercent    int
 	isPaceInFlight bool
+	// pacedUntil is the reading of the worker's clock up to which the time for which the run
+	// was slowed down is excluded from progressAt.
+	pacedUntil time.Duration
 	// tailLatencyMS is the tail response time of a task that serves users.
 	tailLatencyMS float64
 
@@ -91,6 +94,8 @@
 	// progressAt is when the progress last changed, on the worker's clock: the time
 	// for which this VM was paused or an answer was late does not count.
 	progressAt time.Duration
+	// workObservedAt is when a long-running run was last observed to be at work, or 0.
+	workObservedAt time.Duration
 }
 
 // openRun adds a run and allocates its capacity. It runs when a scheduling
@@ -131,8 +136,8 @@
 	if s := r.step; s != nil {
 		s.openRuns--
 		s.idleSince = m.now.Mono
-		if s.tasks[r.id.Index].run == r {
-			s.tasks[r.id.Index].run = nil
+		if t := &s.tasks[r.id.Index]; t.run == r {
+			t.run, t.idleSince = nil, m.now.Mono
 		}
 		if s.def.Gang && s.doneTasks < len(s.tasks) {
 			m.stopGang(s, "member "+reason)
@@ -333,7 +338,7 @@
 	r.isRecovered = false
 	r.acknowledgedAt = m.now.Mono
 	r.startedAt = m.now.Mono
-	r.progressAt = r.worker.clock
+	r.progressAt, r.pacedUntil = r.worker.clock, r.worker.clock
 	if r.job.state == cell.StateQueued {
 		r.job.state = cell.StateRunning
 		m.startedJobs[r.job.def.ID] = r.job
@@ -432,6 +437,7 @@
 		r.progressAt = r.worker.clock
 	}
 	r.tailLatencyMS = listed.Metric
+	m.observeWork(r)
 	m.saveCheckpoint(r, listed.Checkpoint)
 }
 
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -226,6 +226,7 @@
 	permitted := m.permittedWorkers(s, q)
 	placed := 0
 	for _, i := range pending {
+		m.acceptWorkersFor(s, i)
 		w := m.chooseWorker(s, q, permitted)
 		if w == nil {
 			break
@@ -254,6 +255,9 @@
 	if s.def.Gang && (s.openRuns > 0 || len(out) < len(s.tasks)) {
 		return nil
 	}
+	if s.def.LongRunning {
+		s.sortByWaitingTime(out)
+	}
 	return out
 }
 
--- a/internal/cell/owner/sharing.go
+++ b/internal/cell/owner/sharing.go
@@ -4,29 +4,24 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/pacing"
 )
 
 // Best-effort tasks use the CPU time that others leave. They slow down the
 // serving tasks, those with a tail target, on the same worker, by amounts that
 // change within seconds. So each inventory of a worker sets the pace of its
-// best-effort tasks from the tail latency of its serving tasks.
+// best-effort tasks from the tail latency of its serving tasks (package pacing).
 
 const (
 	// fullPacePercent is the speed of a run that is not slowed down.
-	fullPacePercent = 100
+	fullPacePercent = pacing.Full
 	// mixedPollTimeout is how long a worker with both kinds of tasks may delay
 	// its answer to a renewal. Its tail latencies are those of the last half
 	// second.
 	mixedPollTimeout = 300 * time.Millisecond
-	// slowDownLoad is the fraction of a tail target above which best-effort
-	// tasks are slowed down. A target may be exceeded for 4 s.
-	slowDownLoad = 0.8
-	// pauseLoad is the fraction above which they are paused.
-	pauseLoad = 1.0
-	// speedUpLoad is the fraction below which they are sped up again.
-	speedUpLoad = 0.6
-	// speedUpPercent is added to the pace at each inventory.
-	speedUpPercent = 15
+	// keepPacerFor is how long the pace of a worker without best-effort tasks applies to the
+	// next one that starts there. The load of serving tasks changes within seconds.
+	keepPacerFor = 5 * time.Second
 )
 
 // sharingRuns returns the confirmed runs of serving tasks and of best-effort
@@ -54,34 +49,59 @@
 func (m *Machine) adjustPaces(w *worker) {
 	serving, bestEffort := w.sharingRuns()
 	if len(bestEffort) == 0 {
+		if m.now.Mono-w.pacedAt > keepPacerFor {
+			w.pacer = nil
+		}
 		return
 	}
-	load := 0.0
+	w.pacedAt = m.now.Mono
+	if w.pacer == nil {
+		w.pacer = pacing.New(m.now.Mono, initialPace(bestEffort))
+	}
+	sample := pacing.Sample{Tasks: len(bestEffort)}
 	for _, r := range serving {
-		load = max(load, r.tailLatencyMS/float64(r.step.def.TailTarget.Milliseconds()))
+		sample.Load = max(sample.Load, r.tailLatencyMS/float64(r.step.def.TailTarget.Milliseconds()))
+	}
+	for _, r := range bestEffort {
+		r.excludePacedTime()
+		sample.Speed += float64(r.knownPace()) / fullPacePercent
 	}
+	pace := w.pacer.Next(m.now.Mono, sample)
 	for _, r := range bestEffort {
-		m.setPace(r, nextPace(r.pacePercent, load), load)
+		m.setPace(r, pace, sample.Load)
 	}
 }
 
-// nextPace returns the pace that follows pace at a load. The load is the
-// highest tail latency as a fraction of its target. adjustPaces calls it for
-// each best-effort run.
-func nextPace(pace int, load float64) int {
-	if pace < 0 {
-		pace = fullPacePercent
+// initialPace returns the pace of the first decision about the best-effort runs of a worker. A
+// former owner may have paused them because of an exceeded target.
+func initialPace(bestEffort []*run) int {
+	for _, r := range bestEffort {
+		if r.pacePercent < 0 {
+			return pacing.Floor
+		}
 	}
-	switch {
-	case load > pauseLoad:
-		return 0
-	case load > slowDownLoad:
-		return pace / 2
-	case load < speedUpLoad:
-		return min(pace+speedUpPercent, fullPacePercent)
-	default:
-		return pace
+	return pacing.Full
+}
+
+// knownPace returns the pace of a run, full pace if it is unknown.
+func (r *run) knownPace() int {
+	if r.pacePercent < 0 {
+		return fullPacePercent
+	}
+	return r.pacePercent
+}
+
+// excludePacedTime moves the time of the last progress of a best-effort run by the time for
+// which the owner has slowed it down since the last call, so that a paced run does not
+// count as stuck. adjustPaces calls it before stopStuckRuns runs.
+func (r *run) excludePacedTime() {
+	elapsed := r.worker.clock - r.pacedUntil
+	r.pacedUntil = r.worker.clock
+	if elapsed <= 0 {
+		return
 	}
+	pace := min(max(r.pacePercent, pacing.Paused), fullPacePercent)
+	r.progressAt += elapsed * time.Duration(fullPacePercent-pace) / fullPacePercent
 }
 
 // setPace sends a pace request for a run if the pace differs from the
@@ -92,7 +112,7 @@
 	}
 	r.isPaceInFlight = true
 	m.logDecision(r.taskName, "pace of run is changed", "run", r.number, "worker", r.worker.info.ID, "percent", pace, "from", r.pacePercent,
-		"share_of_target", load)
+		"share_of_target", load, "reason", r.worker.pacer.Reason(), "floor", r.worker.pacer.Floor(), "effect", r.worker.pacer.Effect())
 	m.emit(SendPace{Pace: cell.Pace{
 		Task: r.taskName, Run: r.number, Worker: r.worker.info.ID, Addr: r.worker.info.Addr, Token: m.opts.Term, Percent: pace,
 	}})
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/pacing"
 	"gypsumwinch/internal/structs"
 )
 
@@ -74,6 +75,9 @@
 	// backoffUntil is the time before which the worker gets no new tasks.
 	backoffUntil time.Duration
 	health       health
+	// pacer paces the best-effort runs, nil without any. pacedAt is when it was last used.
+	pacer   *pacing.Pacer
+	pacedAt time.Duration
 }
 
 // runKey identifies a run on a worker.
