--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -322,11 +322,14 @@
 		return
 	}
 	c.lastLoadLog = bootTime()
+	h := c.machine.Health()
+	c.node.metrics.setHealth(h)
 	l := c.machine.Load()
 	capacity := c.advice.capacity(c.lastLoadLog)
 	c.log.Info("load of the cell", "term", c.term, "usable_workers", l.UsableWorkers,
 		"cpu", l.Capacity.MilliCPU, "cpu_used", l.Used.MilliCPU, "memory", l.Capacity.MemoryMB, "memory_used", l.Used.MemoryMB,
-		"waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "free_lanes", capacity.FreeProxies, "free_lanes_long", capacity.FreeForLongQueries)
+		"waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "free_lanes", capacity.FreeProxies, "free_lanes_long", capacity.FreeForLongQueries,
+		"suspect_workers", h.Suspect, "quarantined_workers", h.Quarantined, "slowed_runs", h.Slowed+h.AtFloor+h.Paused)
 }
 
 // logAdviceResult logs the result of one attempt of an advice query, answered
--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -5,6 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gypsumwinch/internal/cell/owner"
 )
 
 // metrics are the Prometheus metrics of a node.
@@ -21,6 +23,9 @@
 	knownJobs      prometheus.GaugeFunc
 	// expiredJobs is the number of jobs past their retention that the owner still keeps.
 	expiredJobs prometheus.Gauge
+	// suspectWorkers and bestEffortRuns are set while this VM owns the cell.
+	suspectWorkers *prometheus.GaugeVec
+	bestEffortRuns *prometheus.GaugeVec
 }
 
 // newMetrics registers the metrics of a node. jobs returns the number of known
@@ -53,11 +58,30 @@
 		expiredJobs: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gypsumwinch_expired_jobs", Help: "Ended jobs that this VM, as the owner, keeps past their retention.",
 		}),
+		suspectWorkers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gypsumwinch_suspect_workers", Help: "Workers by suspicion, as this VM sees them as the owner.",
+		}, []string{"state"}),
+		bestEffortRuns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gypsumwinch_best_effort_runs", Help: "Runs of best-effort tasks by pace, as this VM sees them as the owner.",
+		}, []string{"pace"}),
 	}
-	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs)
+	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs,
+		m.suspectWorkers, m.bestEffortRuns)
 	return m
 }
 
+// setHealth sets the metrics of workers and paces. The control loop calls it every
+// loadLogInterval, and with the zero value when the ownership ends.
+func (m *metrics) setHealth(h owner.Health) {
+	m.suspectWorkers.WithLabelValues("quarantined").Set(float64(h.Quarantined))
+	m.suspectWorkers.WithLabelValues("on_trial").Set(float64(h.Suspect - h.Quarantined))
+	m.suspectWorkers.WithLabelValues("cleared_by_rate").Set(float64(h.ClearedByRate))
+	m.bestEffortRuns.WithLabelValues("full").Set(float64(h.FullPace))
+	m.bestEffortRuns.WithLabelValues("slowed").Set(float64(h.Slowed))
+	m.bestEffortRuns.WithLabelValues("floor").Set(float64(h.AtFloor))
+	m.bestEffortRuns.WithLabelValues("paused").Set(float64(h.Paused))
+}
+
 // handler returns the handler of the metrics endpoint. serveMetrics calls it
 // once.
 func (m *metrics) handler() http.Handler {
