--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -81,6 +81,7 @@
 	n.holdsTerm.Store(false)
 	n.metrics.ownerTerm.Set(0)
 	n.metrics.customerLoads.set(nil)
+	n.metrics.setHealth(owner.Health{})
 	cancel()
 	wg.Wait()
 	n.log.Info("ownership has ended", "term", term, "reason", err.Error())
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -5,6 +5,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/expect"
+	"gypsumwinch/internal/cell/failurerate"
 	"gypsumwinch/internal/cell/shares"
 )
 
@@ -67,10 +68,16 @@
 	// speedPreference is which workers the step prefers in the present scheduling cycle.
 	speedPreference speedPreference
 	// siblings has the finished runs of the step whose workers are not compared yet.
-	siblings *expect.Siblings
-	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it.
+	siblings  *expect.Siblings
+	quotaWait quotaWait
+	// acceptsAllWorkers is true while the step avoids no worker; placeStep sets it, for a
+	// long-running step before it places each task.
 	acceptsAllWorkers bool
-	quotaWait         quotaWait
+	// waitingSince is since when the task of a long-running step that is to be placed has had no
+	// run; placeStep sets it.
+	waitingSince time.Duration
+	// outcomes are those of the finished runs of the step.
+	outcomes failurerate.Outcomes
 }
 
 // task is one task of a step.
@@ -82,6 +89,8 @@
 	checkpoint string
 	// notBefore delays the restart of a long-running task.
 	notBefore time.Duration
+	// idleSince is when the last run was closed, or 0.
+	idleSince time.Duration
 }
 
 // currentQueue returns a job's queue as configured now, or as it was at
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/pacing"
 	"gypsumwinch/internal/structs"
 )
 
@@ -77,6 +78,9 @@
 	// slowness is the logarithm of the learned factor by which runs take longer here, or 0
 	// if the speed is not known to differ from the usual one.
 	slowness float64
+	// pacer paces the best-effort runs, nil without any. pacedAt is when it was last used.
+	pacer   *pacing.Pacer
+	pacedAt time.Duration
 }
 
 // runKey identifies a run on a worker.
