owner: the fixture of failure tests has an account

Change: the job of the fixture has the account of its customer. Result: go test ./internal/cell/owner passes.

--- a/internal/cell/owner/evidence_test.go
+++ b/internal/cell/owner/evidence_test.go
@@ -20,7 +20,7 @@
 // step returns the step of a job that is not scheduled.
 func (f *fixture) step(def *cell.Job) *step {
 	def.Queue.MaxAttempts = 0
-	j := &job{def: def, state: cell.StateRunning, steps: map[cell.StepID]*step{}}
+	j := &job{def: def, account: f.m.ledger.Account(def.Customer), state: cell.StateRunning, steps: map[cell.StepID]*step{}}
 	return &step{id: cell.StepID{Job: def.ID}, job: j, def: &def.Steps[0], tasks: make([]task, def.Steps[0].Count)}
 }
 
