Leave readiness without customers as it was

The age of the configuration made VMs not ready in deployments without customers too, which have no keys that could be revoked. go test ./internal/cell/node -run 'Ready|OldConf|OldKeys|Customer': ok

--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -23,8 +23,8 @@
 	// maxReadAge is the age of the last successful read of the store from which
 	// this VM reports that it is not ready.
 	maxReadAge = 1500 * time.Millisecond
-	// maxConfigAge is the age of the last read of the configuration from which this VM reports
-	// that it is not ready. A version has to be in force everywhere after 3 s, so that a VM
+	// maxConfigAge is the age of the last read of a configuration with customers from which this
+	// VM reports that it is not ready. A version has to be in force everywhere after 3 s, so that a VM
 	// that has not read it for so long may have keys in force that are revoked. It is longer
 	// than configReadInterval and two reads of a slow store, which take 0.35 s each.
 	maxConfigAge = 2500 * time.Millisecond
@@ -39,13 +39,14 @@
 // Ready reports whether the load balancer should send new callers to this VM.
 // It runs for each check of the readiness endpoint.
 func (n *Node) Ready() bool {
-	if n.isDraining.Load() || n.config.Load() == nil {
+	config := n.config.Load()
+	if n.isDraining.Load() || config == nil {
 		return false
 	}
 	if isFollower(n.settings) && !n.knowsAllJobs() {
 		return false
 	}
-	if bootTime()-time.Duration(n.configReader.lastReadAt.Load()) > maxConfigAge {
+	if config.Customers != nil && bootTime()-time.Duration(n.configReader.lastReadAt.Load()) > maxConfigAge {
 		return false
 	}
 	if n.committer.isStoreDown() {
--- a/internal/cell/node/keysinforce_test.go
+++ b/internal/cell/node/keysinforce_test.go
@@ -190,6 +190,9 @@
 	is.True(acceptsKey(n, "k"))
 	n.configReader.lastReadAt.Store(int64(bootTime() - applyBound))
 	is.True(!n.Ready())
+	withCustomers := n.config.Swap(&cell.Config{Version: 1})
+	is.True(n.Ready()) // without customers there are no keys
+	n.config.Store(withCustomers)
 	c.publish(t)
 	is.NoErr(n.configReader.readToEnd(context.Background()))
 	is.True(n.Ready())
