expect: separate the noise within a step from the errors of its two sources; metrics

Averages remember 300 samples instead of 100.

The load of the cell and the metric gypsumwinch_distinct_workers count the workers known to be slow and fast.

--- a/internal/cell/expect/expect.go
+++ b/internal/cell/expect/expect.go
@@ -214,15 +214,18 @@
 	centre         float64
 	variance       float64
 	estimateWeight float64
+	// noise is the part of variance by which tasks of one step differ.
+	noise float64
 	// samples is the weight of the samples of the queue.
 	samples float64
 }
 
-// predict combines the learned size of a task and the caller's estimate, corrected by its
-// learned bias, by the inverse of their variances.
+// predict combines the learned size of a step's tasks and the caller's estimate, corrected by its
+// learned bias, by the inverse of their variances. Both variances are without the noise by which
+// tasks of one step differ, since neither source can tell it.
 func (m *Model) predict(now time.Duration, work Work) prediction {
 	size, bias := average{variance: priorSizeVariance}, average{variance: priorEstimateVariance}
-	samples := 0.0
+	noise, samples := priorNoiseVariance, 0.0
 	for depth, key := range levelKeys(work) {
 		l := m.levels[key]
 		if l == nil {
@@ -233,17 +236,18 @@
 		size, bias = l.size.shrunkTowards(size, depth == 0), l.bias.shrunkTowards(bias, false)
 		if depth == 0 {
 			samples = l.size.weight
+			noise = l.noiseVariance()
 		}
 	}
 	var p prediction
-	p.samples = samples
+	p.samples, p.noise = samples, noise
 	sizePrecision, estimatePrecision := 0.0, 0.0
 	if samples > 0 {
-		sizePrecision = 1 / max(size.variance*(1+1/samples), minVariance)
+		sizePrecision = 1 / withoutNoise(size.variance*(1+1/samples), noise)
 		p.centre += sizePrecision * size.mean
 	}
 	if work.Estimate > 0 {
-		estimatePrecision = 1 / max(bias.variance, minVariance)
+		estimatePrecision = 1 / withoutNoise(bias.variance, noise)
 		p.centre += estimatePrecision * (math.Log(work.Estimate.Seconds()) + bias.mean)
 	}
 	total := sizePrecision + estimatePrecision
@@ -252,11 +256,17 @@
 	}
 	p.isKnown = true
 	p.centre /= total
-	p.variance = 1 / total
+	p.variance = 1/total + noise
 	p.estimateWeight = estimatePrecision / total
 	return p
 }
 
+// withoutNoise subtracts the noise from a variance that includes it. At least a fifth is left,
+// since the noise is an estimate too.
+func withoutNoise(variance, noise float64) float64 {
+	return max(variance-noise, variance/5, minVariance)
+}
+
 // observeSize adds the size of a task, in logarithm of seconds on a worker of usual speed, to
 // all levels of its work. The tasks of a step share the error of its estimate, so that each
 // counts less the more there are.
--- a/internal/cell/expect/level.go
+++ b/internal/cell/expect/level.go
@@ -1,7 +1,6 @@
 package expect
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -13,10 +12,10 @@
 const (
 	// clipDeviations is the number of standard deviations at which the residual of a sample
 	// is cut off, so that runs of several times the usual length do not move the centre far.
-	clipDeviations = 2.5
-	// maxAverageWeight bounds the weight of an average, so that each sample changes it by a
-	// hundredth or more of the difference.
-	maxAverageWeight = 100
+	clipDeviations = 2.0
+	// maxAverageWeight bounds the weight of an average, so that it goes on following changes:
+	// each sample counts a three-hundredth or more.
+	maxAverageWeight = 300
 )
 
 // levelKey identifies a level: a queue, a queue and shape, or all of Work but the estimate.
@@ -83,12 +82,16 @@
 	}
 }
 
-// evictOldest removes the eighth of the entries that was used least recently.
+// evictOldest removes the eighth of the entries that was used least recently. usedAt is different
+// for each entry.
 func evictOldest[K comparable, V any](entries map[K]V, usedAt func(V) int64) {
-	keys := slices.SortedFunc(maps.Keys(entries), func(a, b K) int { return cmp.Compare(usedAt(entries[a]), usedAt(entries[b])) })
-	for _, k := range keys[:len(keys)/8+1] {
-		delete(entries, k)
+	uses := make([]int64, 0, len(entries))
+	for _, v := range entries {
+		uses = append(uses, usedAt(v))
 	}
+	slices.Sort(uses)
+	oldestKept := uses[len(uses)/8+1]
+	maps.DeleteFunc(entries, func(_ K, v V) bool { return usedAt(v) < oldestKept })
 }
 
 // average is a weighted mean and variance.
--- a/internal/cell/expect/speed.go
+++ b/internal/cell/expect/speed.go
@@ -154,8 +154,7 @@
 	predicted := m.predict(now, work)
 	queue := m.levelFor(levelKey{queue: work.Queue})
 	queue.decay(now)
-	noisePrior := average{variance: priorNoiseVariance}
-	noise := max(queue.noise.shrunkTowards(noisePrior, false).variance, minVariance)
+	noise := queue.noiseVariance()
 	sorted := make([]float64, len(byWorker))
 	speedVariance := 0.0
 	for i, g := range byWorker {
@@ -170,8 +169,8 @@
 			centre = precision * medianWithout(sorted, g.corrected)
 		}
 		if predicted.isKnown {
-			precision += 1 / predicted.variance
-			centre += predicted.centre / predicted.variance
+			precision += 1 / (predicted.variance - predicted.noise)
+			centre += predicted.centre / (predicted.variance - predicted.noise)
 		}
 		if precision == 0 {
 			return
@@ -181,11 +180,16 @@
 		if len(byWorker) > 1 {
 			// The noise has its share of the difference, the speeds have the rest.
 			share := math.Sqrt(noise / (noise + g.speedVariance + 1/precision))
-			queue.noise.add((g.corrected-centre/precision)*share, 1, noisePrior, false)
+			queue.noise.add((g.corrected-centre/precision)*share, 1, average{variance: priorNoiseVariance}, false)
 		}
 	}
 }
 
+// noiseVariance returns the variance of the logarithm of run times within a step of a queue.
+func (l *level) noiseVariance() float64 {
+	return max(l.noise.shrunkTowards(average{variance: priorNoiseVariance}, false).variance, minVariance)
+}
+
 // groupByWorker groups the runs of a step by worker, in the order of their first ends.
 func (m *Model) groupByWorker(now time.Duration, runs []siblingRun) []workerRuns {
 	var out []workerRuns
--- a/internal/cell/expect/summary.go
+++ b/internal/cell/expect/summary.go
@@ -20,6 +20,8 @@
 	EstimateRatio  float64
 	EstimateSpread float64
 	EstimateWeight float64
+	// NoiseSpread is the standard deviation of the logarithm of run times within a step.
+	NoiseSpread float64
 	// Samples is the weight of the runs that it is derived from.
 	Samples float64
 }
@@ -33,11 +35,13 @@
 		}
 		l.decay(now)
 		size, bias := l.size.shrunkTowards(average{variance: priorSizeVariance}, true), l.bias.shrunkTowards(average{variance: priorEstimateVariance}, false)
+		noise := l.noiseVariance()
+		sizeVariance, biasVariance := withoutNoise(size.variance, noise), withoutNoise(bias.variance, noise)
 		out = append(out, QueueSummary{
 			Queue: key.queue, Samples: l.size.weight,
 			Median: seconds(math.Exp(size.mean)), Spread: math.Sqrt(size.variance),
 			EstimateRatio: math.Exp(bias.mean), EstimateSpread: math.Sqrt(bias.variance),
-			EstimateWeight: size.variance / (size.variance + bias.variance),
+			EstimateWeight: sizeVariance / (sizeVariance + biasVariance), NoiseSpread: math.Sqrt(noise),
 		})
 	}
 	slices.SortFunc(out, func(a, b QueueSummary) int {
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -324,6 +324,7 @@
 	}
 	c.lastLoadLog = bootTime()
 	l := c.machine.Load()
+	c.node.metrics.setDistinctWorkers(l.SlowWorkers, l.FastWorkers)
 	capacity := c.advice.capacity(c.lastLoadLog)
 	c.log.Info("load of the cell", "term", c.term, "usable_workers", l.UsableWorkers,
 		"cpu", l.Capacity.MilliCPU, "cpu_used", l.Used.MilliCPU, "memory", l.Capacity.MemoryMB, "memory_used", l.Used.MemoryMB,
--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -18,7 +18,9 @@
 	unsentRequests prometheus.Counter
 	panics         *prometheus.CounterVec
 	ownerTerm      prometheus.Gauge
-	knownJobs      prometheus.GaugeFunc
+	// distinctWorkers counts the workers that this VM, as the owner, knows to be slow or fast.
+	distinctWorkers *prometheus.GaugeVec
+	knownJobs       prometheus.GaugeFunc
 	// expiredJobs is the number of jobs past their retention that the owner still keeps.
 	expiredJobs prometheus.Gauge
 }
@@ -47,6 +49,9 @@
 		ownerTerm: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gypsumwinch_owner_term", Help: "Term of the ownership of the cell, 0 if another VM owns it.",
 		}),
+		distinctWorkers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gypsumwinch_distinct_workers", Help: "Workers that the owner of the cell knows to be slower or faster than usual.",
+		}, []string{"speed"}),
 		knownJobs: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "gypsumwinch_known_jobs", Help: "Jobs whose state this VM knows.",
 		}, jobs),
@@ -54,10 +59,17 @@
 			Name: "gypsumwinch_expired_jobs", Help: "Ended jobs that this VM, as the owner, keeps past their retention.",
 		}),
 	}
-	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs)
+	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.distinctWorkers, m.knownJobs, m.expiredJobs)
 	return m
 }
 
+// setDistinctWorkers sets the number of workers known to be slow or fast. The control loop calls
+// it with the load of the cell, runOwnership with 0 when the ownership ends.
+func (m *metrics) setDistinctWorkers(slow, fast int) {
+	m.distinctWorkers.WithLabelValues("slow").Set(float64(slow))
+	m.distinctWorkers.WithLabelValues("fast").Set(float64(fast))
+}
+
 // handler returns the handler of the metrics endpoint. serveMetrics calls it
 // once.
 func (m *metrics) handler() http.Handler {
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -80,6 +80,7 @@
 	close(c.done)
 	n.holdsTerm.Store(false)
 	n.metrics.ownerTerm.Set(0)
+	n.metrics.setDistinctWorkers(0, 0)
 	cancel()
 	wg.Wait()
 	n.log.Info("ownership has ended", "term", term, "reason", err.Error())
--- a/internal/cell/owner/expectations.go
+++ b/internal/cell/owner/expectations.go
@@ -119,8 +119,8 @@
 	m.learning.loggedAt = m.now.Mono
 	var queues strings.Builder
 	for _, q := range m.learning.model.Queues(m.now.Mono, maxLoggedQueues) {
-		fmt.Fprintf(&queues, "%s: median_ms=%d spread=%.2f estimate_ratio=%.2f estimate_spread=%.2f estimate_weight=%.2f samples=%.0f; ",
-			q.Queue, q.Median.Milliseconds(), q.Spread, q.EstimateRatio, q.EstimateSpread, q.EstimateWeight, q.Samples)
+		fmt.Fprintf(&queues, "%s: median_ms=%d spread=%.2f noise=%.2f estimate_ratio=%.2f estimate_spread=%.2f estimate_weight=%.2f samples=%.0f; ",
+			q.Queue, q.Median.Milliseconds(), q.Spread, q.NoiseSpread, q.EstimateRatio, q.EstimateSpread, q.EstimateWeight, q.Samples)
 	}
 	if queues.Len() > 0 {
 		m.logDecision("cell", "learned run times", "queues", strings.TrimSuffix(queues.String(), "; "),
--- a/internal/cell/owner/expectations_test.go
+++ b/internal/cell/owner/expectations_test.go
@@ -60,13 +60,11 @@
 		t.Run(fmt.Sprint(isLearning), func(t *testing.T) {
 			is := is.New(t)
 			f := newLearningFixture(t, isLearning, "x")
+			step := newStep(2, 500)
+			step.Gang, step.Estimate = true, 10*time.Second
 			for i := range 30 {
-				step := newStep(2, 500)
-				step.Gang, step.Estimate = true, 10*time.Second
 				f.runJob(newJob(simJobID(i), step), time.Second)
 			}
-			step := newStep(2, 500)
-			step.Gang, step.Estimate = true, 10*time.Second
 			f.apply(JobSubmitted{Job: newJob("j", step)})
 			got := f.m.expectedRunTime(f.m.jobs["j"], 0)
 			if !isLearning {
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -295,6 +295,10 @@
 	// number of these tasks.
 	WaitingSteps int
 	WaitingTasks int
+	// SlowWorkers and FastWorkers are the numbers of workers that are known to be slower or
+	// faster than usual.
+	SlowWorkers int
+	FastWorkers int
 }
 
 // Load returns the current load of the cell. Package node writes it to the
@@ -309,6 +313,7 @@
 		l.Capacity = l.Capacity.Add(w.info.Capacity)
 		l.Used = l.Used.Add(w.used)
 	}
+	l.SlowWorkers, l.FastWorkers = m.learning.slowWorkers, m.learning.fastWorkers
 	l.WaitingSteps = len(m.waitingSteps)
 	for _, s := range m.waitingSteps {
 		l.WaitingTasks += len(s.tasks) - s.doneTasks - s.openRuns
