--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -82,6 +82,7 @@
 	n.metrics.ownerTerm.Set(0)
 	n.metrics.customerLoads.set(nil)
 	n.metrics.setHealth(owner.Health{})
+	n.metrics.setDistinctWorkers(0, 0)
 	cancel()
 	wg.Wait()
 	n.log.Info("ownership has ended", "term", term, "reason", err.Error())
