--- a/internal/cell/failurerate/failurerate.go
+++ b/internal/cell/failurerate/failurerate.go
@@ -21,9 +21,8 @@
 	priorRate = 0.03
 	// queueStrength, imageStrength and stepStrength are the numbers of runs that the rate of
 	// the next coarser level counts for. The rate of a queue moves slowly, so that workers that
-	// fail everything at once are known before it has risen: with 50 a quarter of 48 workers got a
-	// tenth more runs. Half of the failures are of jobs that always fail, so that a second
-	// failure of a step is as likely as not.
+	// fail everything at once are known before it has risen. Half of the failures are of jobs
+	// that always fail, so that a second failure of a step is as likely as not.
 	queueStrength = 100
 	imageStrength = 10
 	stepStrength  = 1
--- a/internal/cell/owner/sharing_test.go
+++ b/internal/cell/owner/sharing_test.go
@@ -93,3 +93,15 @@
 	f.listTail(30*time.Second, 30, 7)
 	is.Equal(len(actionsOf[SendStop](f)), 1) // at full pace it makes no progress either
 }
+
+// TestNewOwnerRaisesUnknownPaces guards against an owner that takes over paused runs and lets them work at full pace beside a
+// target that has just been exceeded, or stops them as stuck.
+func TestNewOwnerRaisesUnknownPaces(t *testing.T) {
+	is := is.New(t)
+	f := newSharingFixture(t)
+	f.m.workers["w"].runList[1].pacePercent = -1 // as of a run that was recovered
+	paces := f.listTail(20*time.Second, 50, 7)
+	is.True(paces[0] <= fullPacePercent/2)
+	is.Equal(paces[len(paces)-1], fullPacePercent)
+	is.True(slices.IsSorted(paces))
+}
