Let excess steps query while under half of the workers is in use

Under half of the service in use, and long-running ones always, they now query after the owed steps of the cycle. Excess queries of one cycle also count against the proxies that are left free.

--- a/internal/cell/owner/contention.go
+++ b/internal/cell/owner/contention.go
@@ -34,6 +34,8 @@
 	wanted   structs.Resources
 	fullness shares.Fullness
 	isFull   bool
+	// isUnderHalf is true while under half of each resource is in use.
+	isUnderHalf bool
 }
 
 // countJobs marks the jobs that were added since the last cycle and are beyond the rate that
@@ -120,6 +122,7 @@
 		}
 	}
 	for _, s := range c.services {
+		s.isUnderHalf = shares.UsedFraction(s.used, s.capacity) < 0.5
 		s.isFull = s.fullness.Update(s.used, s.wanted, s.capacity)
 		c.capacity = c.capacity.Add(s.capacity)
 	}
@@ -130,8 +133,9 @@
 
 // mayQuery reports whether a step may take advice proxies. One of an excess job may not while a
 // step that is owed waits for advice, nor more of them than it leaves free: an answer takes over
-// a second, and owed steps may come meanwhile. One that has had no run for idleAvoidLimit may,
-// since it has to run if there is much free capacity. queryWithinQuota calls it.
+// a second, and owed steps may come meanwhile. Long-running steps, and all while under half of
+// the workers is in use, may nevertheless: they must not be without a run for 3 s then, and
+// come after the owed steps of the cycle in any case. queryWithinQuota calls it.
 func (m *Machine) mayQuery(s *step, q *cell.Queue) bool {
 	c := &m.contention
 	if !needsFreeProxy(q) {
@@ -141,7 +145,7 @@
 		c.isProxyOwed = true
 		return true
 	}
-	if s.openRuns == 0 && m.now.Mono-s.idleSince >= idleAvoidLimit {
+	if load := c.services[q.Service]; s.def.LongRunning || load == nil || load.isUnderHalf {
 		return true
 	}
 	return !c.isProxyOwed && c.excessQueries < m.adviceCapacity.FreeProxies
--- a/internal/cell/owner/contention_test.go
+++ b/internal/cell/owner/contention_test.go
@@ -118,6 +118,12 @@
 	submit := func(id cell.JobID, customer string) {
 		f.apply(JobSubmitted{Job: &cell.Job{ID: id, Customer: customer, Queue: config.Queues[0], Steps: []cell.Step{newStep(15, 5500)}, AcceptedAt: f.time().Wall}})
 	}
+	use := func(memory int64) { // of 128,000
+		for _, w := range f.m.workers {
+			w.used = structs.Resources{MilliCPU: 2000, MemoryMB: memory}
+		}
+	}
+	use(70_000)
 	queried := func() (ids string) {
 		f.m.isCycleNeeded = true
 		f.m.Place(f.time(), unlimitedAdvice)
@@ -132,7 +138,7 @@
 	submit("b", "c")
 	submit("c", "")
 	is.Equal(queried(), "ac")
-	f.now += idleAvoidLimit
+	use(25_000) // under half, where a job that could run must
 	is.Equal(queried(), "abc")
 }
 
--- a/internal/cell/owner/customers.go
+++ b/internal/cell/owner/customers.go
@@ -99,7 +99,11 @@
 	if remaining == 0 || !m.mayQuery(s, q) {
 		return
 	}
+	before := s.advice.queriesInFlight
 	m.queryAdvice(s, q, remaining)
+	if s.job.isExcess {
+		m.contention.excessQueries += s.advice.queriesInFlight - before
+	}
 	if s.advice.queriesInFlight == 0 {
 		return
 	}
--- a/internal/cell/shares/order.go
+++ b/internal/cell/shares/order.go
@@ -26,13 +26,13 @@
 
 // Update returns whether workers with a capacity are full now.
 func (f *Fullness) Update(used, wanted, capacity structs.Resources) bool {
-	fraction := dominantFraction(used, capacity)
-	f.isFull = fraction >= fullFrom || f.isFull && fraction >= fullUntil || dominantFraction(used.Add(wanted), capacity) > 1
+	fraction := UsedFraction(used, capacity)
+	f.isFull = fraction >= fullFrom || f.isFull && fraction >= fullUntil || UsedFraction(used.Add(wanted), capacity) > 1
 	return f.isFull
 }
 
-// dominantFraction returns the largest used fraction of a resource.
-func dominantFraction(used, capacity structs.Resources) float64 {
+// UsedFraction returns the largest used fraction of a resource of a capacity.
+func UsedFraction(used, capacity structs.Resources) float64 {
 	fraction := 0.0
 	usedAmounts := amounts(used)
 	for i, c := range amounts(capacity) {
@@ -54,7 +54,7 @@
 // Share returns the customer's weighted dominant share of a capacity: the largest fraction of a
 // resource that it has running, divided by its weight.
 func (a *Account) Share(capacity structs.Resources) float64 {
-	return dominantFraction(a.running, capacity) / a.Weight()
+	return UsedFraction(a.running, capacity) / a.Weight()
 }
 
 // Turns orders items between customers by weighted max-min fairness: the next item is always one
