--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -1,6 +1,7 @@
 package storeserver
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -109,8 +110,17 @@
 	Grace         time.Duration
 	GangTimeout   time.Duration
 	StopTimeout   time.Duration
+	// MemoryMB and MaxFDs are the limits of the process; 0 stands for those of an ordinary VM.
+	MemoryMB int
+	MaxFDs   int
 }
 
+// Limits of an ordinary VM.
+const (
+	ordinaryMemoryMB = 284
+	ordinaryMaxFDs   = 4100
+)
+
 // WriteFile writes the settings file of the process.
 func (v VMSettings) WriteFile(path string) error {
 	data, err := json.MarshalIndent(map[string]any{
@@ -120,7 +130,7 @@
 			"Frontend":  net.JoinHostPort(v.IP, strconv.Itoa(v.CallerPort)),
 			"Readiness": net.JoinHostPort(v.IP, strconv.Itoa(v.ReadinessPort)),
 		},
-		"Limits":   map[string]any{"CpuShare": v.CPUShare, "Cores": 1, "MemoryMb": 284, "MaxFds": 4100},
+		"Limits":   map[string]any{"CpuShare": v.CPUShare, "Cores": 1, "MemoryMb": cmp.Or(v.MemoryMB, ordinaryMemoryMB), "MaxFds": cmp.Or(v.MaxFDs, ordinaryMaxFDs)},
 		"Advice":   v.AdviceAddr,
 		"platform": map[string]string{"Address": v.StoreAddr},
 		"Bounds": map[string]any{
