Limit connections, bodies and answers in package gracefulhttp

Clients could hold connections for any time: a body that stops short and an answer that is not read had no deadline, net/http waited for the rest of bodies that handlers do not read, and the number of connections had no limit. A header of 16 KB may have 4,000 fields.

At the limit a new connection now takes the place of the one that has been without a complete request the longest, never of one whose request is complete, and of none of which a byte was read while the server drains. Bodies, discarded bodies and writes have deadlines. Limits but those of header lines and discarded bodies are off unless SetLimits is called; the tests of the shutdown are unchanged.

POST takes one more allocation: a copy of the request.

--- a/internal/gracefulhttp/server.go
+++ b/internal/gracefulhttp/server.go
@@ -30,6 +30,7 @@
 	// isDraining is true once each response has to be the last of its connection.
 	isDraining atomic.Bool
 	isClosed   atomic.Bool
+	limits     Limits
 	// giveUp ends the contexts of all requests.
 	giveUp context.CancelCauseFunc
 
@@ -39,15 +40,14 @@
 }
 
 // New returns a server with the handler, the timeouts and the limits of server, which
-// it uses from then on. The caller must not set ConnState or BaseContext.
+// it uses from then on. The caller must not set ConnState, BaseContext or ConnContext.
 func New(server *http.Server) *Server {
 	s := &Server{http: server, conns: map[*conn]struct{}{}}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		last := &response{ResponseWriter: w, server: s}
-		handler.ServeHTTP(last, r)
-		last.announceClose()
+		s.serve(handler, w, r)
 	})
+	server.ConnContext = connContext
 	server.ConnState = s.connStateChanged
 	ctx, giveUp := context.WithCancelCause(context.Background())
 	s.giveUp = giveUp
@@ -169,28 +169,31 @@
 	}
 }
 
-// response announces the end of its connection if the server drains when the header is
-// written.
+// response announces the end of its connection if the server drains, or the body of the
+// request is left unread, when the header is written.
 type response struct {
 	http.ResponseWriter
 	server *Server
+	// body is nil if the request has none.
+	body *trackedBody
 }
 
-func (r *response) announceClose() {
-	if r.server.isDraining.Load() {
+// finishHeader completes the header of the response.
+func (r *response) finishHeader() {
+	if r.body != nil && r.body.leaveUnread() || r.server.isDraining.Load() {
 		r.Header().Set("Connection", "close")
 	}
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (r *response) WriteHeader(status int) {
-	r.announceClose()
+	r.finishHeader()
 	r.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
-	r.announceClose()
+	r.finishHeader()
 	return r.ResponseWriter.Write(p)
 }
 
@@ -203,13 +206,18 @@
 	server *Server
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no room is closed.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	for err == nil && !l.server.makeRoom() {
+		l.server.report(ReasonBusy)
+		nc.Close()
+		nc, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, unusedSince: time.Now()}
+	c := &conn{Conn: nc, server: l.server, unusedSince: time.Now()}
 	l.server.mu.Lock()
 	l.server.conns[c] = struct{}{}
 	l.server.mu.Unlock()
@@ -220,9 +228,20 @@
 // from it.
 type conn struct {
 	net.Conn
+	server *Server
 
 	mu         sync.Mutex
 	hasRequest bool
+	// isInHandler is true from the end of a request's header until its answer, isWhole from
+	// the end of the request.
+	isInHandler bool
+	isWhole     bool
+	// isAbandoned is true once the connection has been closed for another one.
+	isAbandoned bool
+	// lines is the number of lines that may belong to an incomplete header.
+	lines int
+	// isTooLong is true once a header has had too many lines.
+	isTooLong bool
 	// unusedSince is when the connection was accepted or its last request was
 	// answered.
 	unusedSince time.Time
@@ -238,9 +257,15 @@
 // Read implements net.Conn. Bytes that were read before an interruption took effect are
 // returned, and the rest of their request is read with the deadline of http.Server.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.checkHeader(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.requestBegins()
+		c.bytesArrived(p[:n])
+	}
+	if err != nil {
+		c.noteReadError(err)
 	}
 	return n, err
 }
@@ -278,11 +303,24 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
-// requestBegins notes that a request is being read. Read calls it for the bytes from the
-// connection, connStateChanged for a request that was in the buffer of http.Server.
+// bytesArrived notes that a part of a request has been read. Read calls it.
+func (c *conn) bytesArrived(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.countLines(p)
+	c.beginRequest()
+}
+
+// requestBegins notes that a request is being read. connStateChanged calls it for one that
+// was in the buffer of http.Server.
 func (c *conn) requestBegins() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beginRequest()
+}
+
+// beginRequest does what requestBegins does. c.mu is locked.
+func (c *conn) beginRequest() {
 	c.hasRequest = true
 	if c.isInterrupted {
 		c.isInterrupted = false
@@ -295,6 +333,6 @@
 func (c *conn) requestEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hasRequest = false
+	c.hasRequest, c.isInHandler, c.isWhole = false, false, false
 	c.unusedSince = time.Now()
 }
