Limit clients by the memory and descriptors of the VM

600 bodies of 255 KB that stop short took a process to 239 MB, 100 bodies of 80,001 empty steps to 1,936 MB, and 3,300 connections exceeded the 3,075 descriptors of a small VM.

Submissions now lease room for their bodies, and for what decoding takes, until they are answered; without room they are refused with 503 before the rest of the body is read (not run). Lists of more than 1,000 steps, 40,000 fields and a nesting of 64 are refused with 400 before anything is decoded. A body that is not whole in time is answered 503, before 400: it has not run. The kernel's buffers of a connection are fixed, since they may count towards the memory of a VM too.

Refusals and closed connections are counted by listener and reason, and logged once a second.

The drain tests of the daemon serve with the limits of a small VM now; their checks are unchanged.

--- a/cmd/gypsumwinchd/drain_test.go
+++ b/cmd/gypsumwinchd/drain_test.go
@@ -16,6 +16,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/node"
+	"gypsumwinch/internal/gracefulhttp"
 	"gypsumwinch/platform"
 	"gypsumwinch/standin/cellstore"
 )
@@ -97,6 +98,9 @@
 	return node.New(node.Settings{Name: "vm", PeerAddr: "127.0.0.1:0"}, node.Ports{Store: &cellstore.Store{}}, io.Discard)
 }
 
+// testLimits are the limits of connections on a small VM.
+var testLimits = gracefulhttp.Limits{MaxConns: 576, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout}
+
 // TestRequestThatWasReadIsAnswered guards callers against a drain that closes a
 // connection as idle, or gives up a new one, although the process has read a whole
 // request from it that no handler has yet.
@@ -106,7 +110,7 @@
 			is := is.New(t)
 			listener := newHeldListener(t)
 			results := make(chan error, 3)
-			server := serve(listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), results)
+			server := serve(listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), testLimits, results)
 			defer server.Close()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			is.NoErr(err)
@@ -209,7 +213,7 @@
 	server := serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		begun <- struct{}{}
 		ingress.ServeHTTP(w, r)
-	}), results)
+	}), testLimits, results)
 	defer server.Close()
 	statuses := []chan int{make(chan int, 1), make(chan int, 1)}
 	go submit(listener.Addr().String(), 1, statuses[0])
--- a/cmd/gypsumwinchd/drainload_test.go
+++ b/cmd/gypsumwinchd/drainload_test.go
@@ -327,7 +327,7 @@
 		t.Fatal(err)
 	}
 	l.addr = listener.Addr().String()
-	server := serve(countingListener{listener, &l.read}, nodes[drained].ContainPanics("callers", platform.NewIngress(nodes[drained])), results)
+	server := serve(countingListener{listener, &l.read}, nodes[drained].ContainPanics("callers", platform.NewIngress(nodes[drained])), testLimits, results)
 	var clients sync.WaitGroup
 	for i := range loadClients {
 		clients.Go(func() { l.runClient(i) })
--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -15,6 +15,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/node"
+	"gypsumwinch/internal/clientlimit"
 	"gypsumwinch/internal/gracefulhttp"
 	"gypsumwinch/platform"
 )
@@ -50,6 +51,17 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	maxHeaderBytes = 16 << 10
+	// bodyTimeout bounds the time for the body of a request, also for callers that wait
+	// longer for their answers. The largest legal body takes 0.2 s on a link of 10 Mbit/s.
+	bodyTimeout = 5 * time.Second
+	// writeTimeout bounds each write of an answer. Answers are shorter than sendBufferBytes,
+	// and callers wait 3 s for them unless they say otherwise.
+	writeTimeout = 3 * time.Second
+	// receiveBufferBytes and sendBufferBytes are the kernel's buffers of a connection, of
+	// which it allocates twice as much. Left to itself it allocates up to 6 MB, so that the
+	// bodies of clients that a process does not read would exceed the memory of a VM.
+	receiveBufferBytes = 32 << 10
+	sendBufferBytes    = 16 << 10
 )
 
 // decoder implements node.Decoder with the record formats of the platform.
@@ -95,12 +107,16 @@
 	}, os.Stdout)
 	results := make(chan error, 3)
 	go func() { results <- n.Run(ctx) }()
-	callerServer, err := startServer(settings.CallerAddr, n.ContainPanics("callers", platform.NewIngress(n)), results)
+	plan := clientlimit.NewPlan(settings.MemoryMB, settings.MaxFiles)
+	ingress := platform.NewLimitedIngress(n, platform.BodyLimits{
+		Budget: clientlimit.NewBudget(plan.BodyBytes), OnRefused: func(reason string) { n.ClientLimitReached(callersName, reason) },
+	})
+	callerServer, err := startServer(settings.CallerAddr, n.ContainPanics(callersName, ingress), connLimits(n, callersName, plan.CallerConns), results)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	readinessServer, err := startServer(settings.ReadinessAddr, platform.NewReadiness(n), results)
+	readinessServer, err := startServer(settings.ReadinessAddr, platform.NewReadiness(n), connLimits(n, readinessName, plan.ReadinessConns), results)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -142,25 +158,54 @@
 	return code
 }
 
+// Names of the listeners in metrics and log lines.
+const (
+	callersName   = "callers"
+	readinessName = "readiness"
+)
+
+// connLimits returns the limits of the connections of a listener. runOnPlatform calls it for
+// each of them.
+func connLimits(n *node.Node, listener string, maxConns int) gracefulhttp.Limits {
+	return gracefulhttp.Limits{
+		MaxConns: maxConns, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout,
+		OnLimit: func(r gracefulhttp.Reason) { n.ClientLimitReached(listener, string(r)) },
+	}
+}
+
 // startServer listens on addr and serves handler there; see serve. runOnPlatform
 // calls it for the callers' and the readiness listener.
-func startServer(addr string, handler http.Handler, results chan error) (*gracefulhttp.Server, error) {
-	listener, err := net.Listen("tcp", addr)
+func startServer(addr string, handler http.Handler, limits gracefulhttp.Limits, results chan error) (*gracefulhttp.Server, error) {
+	config := net.ListenConfig{Control: setBufferSizes}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return serve(listener, handler, results), nil
+	return serve(listener, handler, limits, results), nil
+}
+
+// setBufferSizes sets the buffer sizes of a listener, which its connections inherit.
+// startServer passes it to the listener.
+func setBufferSizes(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
+	})
+	return errors.Join(controlErr, err)
 }
 
 // serve serves handler on a goroutine of its own. A later failure of the server is
 // sent to results; a shutdown is none. startServer calls it.
-func serve(listener net.Listener, handler http.Handler, results chan error) *gracefulhttp.Server {
+func serve(listener net.Listener, handler http.Handler, limits gracefulhttp.Limits, results chan error) *gracefulhttp.Server {
 	server := gracefulhttp.New(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	})
+	server.SetLimits(limits)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			results <- err
--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -21,6 +21,8 @@
 	knownJobs      prometheus.GaugeFunc
 	// expiredJobs is the number of jobs past their retention that the owner still keeps.
 	expiredJobs prometheus.Gauge
+	// clientLimits counts what was refused or closed because of a limit on clients.
+	clientLimits *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics of a node. jobs returns the number of known
@@ -53,8 +55,11 @@
 		expiredJobs: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gypsumwinch_expired_jobs", Help: "Ended jobs that this VM, as the owner, keeps past their retention.",
 		}),
+		clientLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumwinch_client_limits_total", Help: "Requests refused and connections closed because of a limit on clients, by listener and reason.",
+		}, []string{"listener", "reason"}),
 	}
-	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs)
+	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs, m.clientLimits)
 	return m
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -166,6 +166,7 @@
 	refusalLimiter        logLimiter
 	acceptedCancelLimiter logLimiter
 	deniedCancelLimiter   logLimiter
+	clientLimitLog        clientLimitLog
 	// pendingCounts are the numbers of pending jobs by queue, as reported by the
 	// owner.
 	pendingCounts   atomic.Pointer[map[string]int32]
--- a/internal/cell/validate.go
+++ b/internal/cell/validate.go
@@ -12,8 +12,8 @@
 	// MaxTasksPerJob bounds the tasks of one occurrence of a job. The record of a job
 	// lists its open runs with 60 bytes each; the store accepts records of 256 KB.
 	MaxTasksPerJob = 4_000
-	// maxSteps bounds the steps of a job.
-	maxSteps = 1_000
+	// MaxStepsPerJob bounds the steps of a job.
+	MaxStepsPerJob = 1_000
 	// maxOccurrences bounds the occurrences of a repeated job. The record of a job
 	// has a character about each one that is done if it would be too long otherwise.
 	maxOccurrences = 4_000
@@ -28,8 +28,8 @@
 // Validate returns an error that names the first value of the job that no owner can
 // work with. The adapter calls it for each submission, and DecodeJob for each stored one.
 func (j *Job) Validate() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return eris.Errorf("job %s has %d steps; it must have 1 to %d", j.ID, len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxStepsPerJob {
+		return eris.Errorf("job %s has %d steps; it must have 1 to %d", j.ID, len(j.Steps), MaxStepsPerJob)
 	}
 	if j.Repeat < 0 || j.Repeat > maxOccurrences {
 		return eris.Errorf("job %s has %d occurrences; it may have up to %d", j.ID, j.Repeat, maxOccurrences)
