--- a/internal/clientlimit/plan.go
+++ b/internal/clientlimit/plan.go
@@ -15,7 +15,7 @@
 	// 3,500 ordinary submissions (600 bytes, 5 KB decoded); its part of the traffic of the
 	// largest site is 17 requests a second.
 	bodyShare = 8
-	// minBodyBytes lets the most expensive legal body (4.2 MB decoded) in on any VM.
+	// minBodyBytes lets the most expensive legal body (6.0 MB decoded) in on any VM.
 	minBodyBytes = 8 << 20
 	// connShare is the part of the memory for callers' connections: 1/4.
 	connShare = 4
