--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -58,7 +58,7 @@
 	// and callers wait 3 s for them unless they say otherwise.
 	writeTimeout = 3 * time.Second
 	// receiveBufferBytes and sendBufferBytes are the kernel's buffers of a connection, of
-	// which it allocates twice as much. Left to itself it allocates up to 6 MB, so that the
+	// which it allocates twice as much. Left to itself it allocates several MB, so that the
 	// bodies of clients that a process does not read would exceed the memory of a VM.
 	receiveBufferBytes = 32 << 10
 	sendBufferBytes    = 16 << 10
--- a/internal/clientlimit/plan.go
+++ b/internal/clientlimit/plan.go
@@ -19,8 +19,9 @@
 	minBodyBytes = 8 << 20
 	// connShare is the part of the memory for callers' connections: 1/4.
 	connShare = 4
-	// connBytes is what a connection takes at most, apart from its body: stacks, buffers, a
-	// header of 16 KB and the fields decoded from it.
+	// connBytes is what a connection counts for, apart from its body. In the tests of
+	// misbehaving clients one takes 18 KB; a header of the most fields (512) takes 60 KB more,
+	// for 3 s at most.
 	connBytes = 64 << 10
 	// fileShare is the part of the open files for callers' connections: 1/3. The rest is for
 	// files (200), idle connections to workers (0.35, see platform.NewWorkerClient), their
--- a/internal/gracefulhttp/limits.go
+++ b/internal/gracefulhttp/limits.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// maxHeaderLines bounds the lines of a header. http.Server bounds its bytes, but 16 KB of
-	// short fields take 0.4 MB decoded. Clients and proxies send 5 to 100.
+	// maxHeaderLines bounds the lines of a header. http.Server bounds its bytes, to 20 KB for a
+	// limit of 16 KB, but 4,000 short fields of 5 bytes take 0.47 MB decoded; 512 take 60 KB.
+	// Clients and proxies send 5 to 100.
 	maxHeaderLines = 512
 	// headerBufferBytes is the size of the buffer from which http.Server reads headers.
 	headerBufferBytes = 4 << 10
