--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -29,6 +29,8 @@
 	// suspectWorkers and bestEffortRuns are set while this VM owns the cell.
 	suspectWorkers *prometheus.GaugeVec
 	bestEffortRuns *prometheus.GaugeVec
+	// clientLimits counts what was refused or closed because of a limit on clients.
+	clientLimits *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics of a node. jobs returns the number of known
@@ -70,10 +72,13 @@
 		bestEffortRuns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "gypsumwinch_best_effort_runs", Help: "Runs of best-effort tasks by pace, as this VM sees them as the owner.",
 		}, []string{"pace"}),
+		clientLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumwinch_client_limits_total", Help: "Requests refused and connections closed because of a limit on clients, by listener and reason.",
+		}, []string{"listener", "reason"}),
 	}
 	m.customerLoads = newCustomerLoads(m.registry)
 	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs,
-		m.suspectWorkers, m.bestEffortRuns, m.distinctWorkers)
+		m.suspectWorkers, m.bestEffortRuns, m.distinctWorkers, m.clientLimits)
 	return m
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -170,6 +170,7 @@
 	invalidKeyLimiter     logLimiter
 	acceptedCancelLimiter logLimiter
 	deniedCancelLimiter   logLimiter
+	clientLimitLog        clientLimitLog
 	// pendingCounts are the numbers of pending jobs by queue, as reported by the
 	// owner.
 	pendingCounts   atomic.Pointer[map[string]int32]
