--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -146,6 +146,7 @@
 	usableWorkers []*worker
 	// candidates is reused by rateCandidates, waitingRuns by resendRequests.
 	candidates  []candidate
+	hold        holdState
 	waitingRuns []*run
 	actions     []Action
 }
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -23,6 +23,7 @@
 	m.cycle++
 	m.updateQuarantineSuspension()
 	m.findUsableWorkers()
+	m.updateHoldState()
 	m.placeInOrder(steps)
 }
 
@@ -183,7 +184,7 @@
 
 // taskCapacity returns how many more tasks of a step fit on a worker.
 func (m *Machine) taskCapacity(w *worker, s *step) int {
-	return m.taskCapacityWithin(w.freeCapacity(), w, s)
+	return m.taskCapacityWithin(w.freeCapacity().Sub(m.heldOn(w)), w, s)
 }
 
 // taskCapacityWithin returns how many tasks of a step fit into a free amount
@@ -294,6 +295,9 @@
 		if q.Advice != nil {
 			m.queryWithinQuota(s, q, len(pending))
 		}
+		if m.mayHoldRoom(s, q) {
+			m.holdRoom(s, q, len(pending))
+		}
 		return
 	}
 	m.alignGang(s, q, permitted, len(pending))
@@ -423,6 +427,9 @@
 	if m.isLastChoice(s, w) {
 		score += lastChoicePenalty
 	}
+	if !s.def.Gang && m.usesHeld(w, s.def.Charge()) {
+		score += heldPenalty
+	}
 	if s.def.DataRack != "" && s.def.DataRack != w.info.Rack() {
 		score += remotePenalty
 	}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -70,6 +70,9 @@
 	// reservedInCycle.
 	reserved        structs.Resources
 	reservedInCycle int
+	// held is the capacity that gangs hold in the scheduling cycle heldInCycle.
+	held        structs.Resources
+	heldInCycle int
 	// unknownRuns counts the runs on the worker that the owner does not know.
 	unknownRuns int
 	// backoffUntil is the time before which the worker gets no new tasks.
