--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -331,6 +331,7 @@
 	c.log.Info("load of the cell", "term", c.term, "usable_workers", l.UsableWorkers,
 		"cpu", l.Capacity.MilliCPU, "cpu_used", l.Used.MilliCPU, "memory", l.Capacity.MemoryMB, "memory_used", l.Used.MemoryMB,
 		"waiting_steps", l.WaitingSteps, "waiting_tasks", l.WaitingTasks, "free_lanes", capacity.FreeProxies, "free_lanes_long", capacity.FreeForLongQueries,
+		"holding_gangs", l.HoldingGangs, "cpu_held", l.HeldCPU,
 		"suspect_workers", h.Suspect, "quarantined_workers", h.Quarantined, "slowed_runs", h.Slowed+h.AtFloor+h.Paused)
 	c.logCustomers()
 }
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -316,6 +316,10 @@
 	// faster than usual.
 	SlowWorkers int
 	FastWorkers int
+	// HoldingGangs is the number of gangs that held capacity in the last scheduling cycle, and
+	// HeldCPU what they held, in thousandths of a core.
+	HoldingGangs int
+	HeldCPU      int64
 }
 
 // Load returns the current load of the cell. Package node writes it to the
@@ -331,6 +335,7 @@
 		l.Used = l.Used.Add(w.used)
 	}
 	l.SlowWorkers, l.FastWorkers = m.learning.slowWorkers, m.learning.fastWorkers
+	l.HoldingGangs, l.HeldCPU = m.hold.gangs, m.hold.held
 	l.WaitingSteps = len(m.waitingSteps)
 	for _, s := range m.waitingSteps {
 		l.WaitingTasks += len(s.tasks) - s.doneTasks - s.openRuns
