owner: gangs hold capacity by service, and none from long-running tasks

Cause: the use of all workers decided whether gangs hold capacity, so that a gang held that of a half empty service while another service was full, and the bound counted only CPUs. A long-running task could not use held capacity; gangs in turn hold it for longer than the 3 s for which such a task may be without a run in a full service.

Change: use and bound are those of the service's listed workers, measured only if a gang with tickets waits; the bound is of the largest fraction of a resource. Long-running steps see held capacity as free, with the penalty that other steps have before the gang's turn. The search for places ends with the last member.

Result: both new tests fail without the change and pass with it.

--- a/internal/cell/owner/candidates.go
+++ b/internal/cell/owner/candidates.go
@@ -154,5 +154,5 @@
 // unreservedTaskCapacity returns how many tasks of a step fit on a worker beside
 // the reservations of steps earlier in the scheduling cycle.
 func (m *Machine) unreservedTaskCapacity(w *worker, s *step) int {
-	return m.taskCapacityWithin(w.freeCapacity().Sub(m.reservedOn(w)).Sub(m.heldOn(w)), w, s)
+	return m.taskCapacityWithin(m.availableCapacity(w, s).Sub(m.reservedOn(w)), w, s)
 }
--- a/internal/cell/owner/gangroom.go
+++ b/internal/cell/owner/gangroom.go
@@ -7,6 +7,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/room"
+	"gypsumwinch/internal/cell/shares"
 	"gypsumwinch/internal/structs"
 )
 
@@ -17,12 +18,12 @@
 // full cell lacks first. docs/design/room-for-gangs.md says what else was tried.
 
 const (
-	// holdMinUsage is the used fraction of the cell from which gangs hold capacity. A job that
-	// could run may have nothing running for 3 s while under half of its service is in use, so
-	// that nothing may be held from it then.
+	// holdMinUsage is the used fraction of a service from which gangs hold its capacity. A job
+	// that could run may have nothing running for 3 s while under half of its service is in
+	// use, so that nothing may be held from it then.
 	holdMinUsage = 0.5
-	// maxHeldFraction bounds the capacity that all gangs hold together, since it is idle until
-	// they start.
+	// maxHeldFraction bounds the capacity of a service that all gangs hold together, since it
+	// is idle until they start. A single gang may be larger.
 	maxHeldFraction = 0.2
 	// minRemainingFraction of a run's expected time remains of a run that has exceeded it.
 	minRemainingFraction = 0.25
@@ -33,39 +34,81 @@
 
 // holdState is the capacity that gangs hold in the current scheduling cycle.
 type holdState struct {
-	isScarce bool
-	// held and limit are the CPU held in this cycle and its bound, in thousandths of a core;
-	// gangs is the number of gangs that hold it.
-	held, limit int64
-	gangs       int
+	// services are the listed workers by service. They are added up when the first gang of
+	// the cycle may hold capacity; before that the map is empty.
+	services map[string]*serviceHold
+	// held is the CPU held in this cycle, in thousandths of a core; gangs is the number of
+	// gangs that hold it.
+	held  int64
+	gangs int
 	// workers and places are reused by holdRoom.
 	workers []*worker
 	places  []room.Worker
 }
 
-// updateHoldState resets the state at the start of a scheduling cycle. runCycle calls it after
-// findUsableWorkers.
-func (m *Machine) updateHoldState() {
-	var capacity, used structs.Resources
-	for _, w := range m.usableWorkers {
-		capacity = capacity.Add(w.info.Capacity)
-		used = used.Add(w.used)
-	}
-	m.hold.isScarce = isAboveFraction(used.MilliCPU, capacity.MilliCPU) || isAboveFraction(used.MemoryMB, capacity.MemoryMB)
-	m.hold.held, m.hold.limit, m.hold.gangs = 0, int64(maxHeldFraction*float64(capacity.MilliCPU)), 0
+// serviceHold is the use of a service's workers, and what gangs hold of them.
+type serviceHold struct {
+	capacity, used, held structs.Resources
+}
+
+// isScarce reports whether gangs may hold capacity of the service.
+func (h *serviceHold) isScarce() bool {
+	return isAboveFraction(h.used.MilliCPU, h.capacity.MilliCPU) || isAboveFraction(h.used.MemoryMB, h.capacity.MemoryMB)
 }
 
 func isAboveFraction(used, capacity int64) bool {
 	return capacity > 0 && float64(used) > holdMinUsage*float64(capacity)
 }
 
+// resetHoldState resets the state at the start of a scheduling cycle. runCycle calls it.
+func (m *Machine) resetHoldState() {
+	clear(m.hold.services)
+	m.hold.held, m.hold.gangs = 0, 0
+}
+
+// serviceHoldOf returns the state of a service, or nil if it has no workers.
+func (m *Machine) serviceHoldOf(service string) *serviceHold {
+	h := &m.hold
+	if h.services == nil {
+		h.services = map[string]*serviceHold{}
+	}
+	if len(h.services) == 0 {
+		for _, w := range m.sortedWorkers {
+			if !w.isListed {
+				continue
+			}
+			s := h.services[w.info.Service]
+			if s == nil {
+				s = &serviceHold{}
+				h.services[w.info.Service] = s
+			}
+			s.capacity, s.used = s.capacity.Add(w.info.Capacity), s.used.Add(w.used)
+		}
+	}
+	return h.services[service]
+}
+
 // mayHoldRoom reports whether a gang holds capacity while it waits. Where advice is answered
 // quickly, or not needed, the gang starts in the first cycle in which it fits. While its queries
 // are in flight, it waits for the answers. Jobs beyond the rate of their customer leave the
 // capacity to others.
 func (m *Machine) mayHoldRoom(s *step, q *cell.Queue) bool {
-	return m.hold.isScarce && s.advice.queriesInFlight == 0 && !s.job.isExcess &&
-		q.Advice != nil && q.Advice.AnswerTime(queryWorkers) >= m.adviceCapacity.LongQueryTime
+	if len(s.advice.tickets) == 0 || s.advice.queriesInFlight > 0 || s.job.isExcess ||
+		q.Advice == nil || q.Advice.AnswerTime(queryWorkers) < m.adviceCapacity.LongQueryTime {
+		return false
+	}
+	h := m.serviceHoldOf(q.Service)
+	return h != nil && h.isScarce()
+}
+
+// availableCapacity returns the capacity of a worker that neither runs use nor gangs earlier in
+// the scheduling cycle hold. What gangs hold is available to a long-running step, which may
+// not wait for 3 s while there is free capacity, however full its service is.
+func (m *Machine) availableCapacity(w *worker, s *step) structs.Resources {
+	if s.def.LongRunning {
+		return w.freeCapacity()
+	}
+	return w.freeCapacity().Sub(m.heldOn(w))
 }
 
 // heldOn returns the capacity of a worker that gangs earlier in the scheduling cycle hold.
@@ -91,8 +134,10 @@
 // in which the gang does not fit yet.
 func (m *Machine) holdRoom(s *step, q *cell.Queue, need int) {
 	charge := s.def.Charge()
-	total := int64(need) * charge.MilliCPU
-	if m.hold.held > 0 && m.hold.held+total > m.hold.limit {
+	total := charge.Times(int64(need))
+	service := m.serviceHoldOf(q.Service)
+	held := service.held.Add(total)
+	if !service.held.IsZero() && shares.UsedFraction(held, service.capacity) > maxHeldFraction {
 		return
 	}
 	workers, places := m.hold.workers[:0], m.hold.places[:0]
@@ -108,7 +153,8 @@
 	if members == nil {
 		return
 	}
-	m.hold.held += total
+	service.held = held
+	m.hold.held += total.MilliCPU
 	m.hold.gangs++
 	for i, n := range members {
 		w := workers[i]
@@ -118,7 +164,7 @@
 		if w.heldInCycle != m.cycle {
 			w.heldInCycle, w.held = m.cycle, structs.Resources{}
 		}
-		w.held = w.held.Add(scaleResources(charge, float64(n)))
+		w.held = w.held.Add(charge.Times(int64(n)))
 	}
 }
 
@@ -131,11 +177,14 @@
 // fitsAt returns the times, up to a latest one, from which one, two and more tasks of a step are
 // expected to fit on a worker beside what gangs earlier in the cycle hold.
 func (m *Machine) fitsAt(w *worker, s *step, need int, latest time.Duration) []time.Duration {
-	free := w.freeCapacity().Sub(m.heldOn(w))
+	free := m.availableCapacity(w, s)
 	var out []time.Duration
 	for n := m.taskCapacityWithin(free, w, s); len(out) < min(n, need); {
 		out = append(out, m.now.Mono)
 	}
+	if len(out) == need {
+		return out
+	}
 	ends := make([]runEnd, 0, len(w.runList))
 	for _, r := range w.runList {
 		if at := m.expectedEnd(r); at <= latest {
@@ -144,6 +193,9 @@
 	}
 	slices.SortFunc(ends, func(a, b runEnd) int { return cmp.Compare(a.at, b.at) })
 	for _, e := range ends {
+		if len(out) == need {
+			break
+		}
 		free = free.Add(e.allocated)
 		for n := m.taskCapacityWithin(free, w, s); len(out) < min(n, need); {
 			out = append(out, e.at)
--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -126,3 +126,32 @@
 	f.cycleOnly()
 	is.Equal(f.m.jobs["u"].stepsInOrder[0].tasks[0].run.worker.info.ID, "e")
 }
+
+// TestNothingIsHeldOfAHalfEmptyService guards the same rule while other services are full: it
+// counts the capacity of the job's service only.
+func TestNothingIsHeldOfAHalfEmptyService(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	for _, id := range []string{"a", "b"} {
+		f.m.workers[id].info.Service = "other"
+	}
+	_, small := f.cycle()
+	is.Equal(small, 2)
+	is.Equal(f.m.Load().HoldingGangs, 0)
+}
+
+// TestLongRunningTaskUsesHeldCapacity guards the rule that a long-running task that could run
+// has a run within seconds however full its service is; gangs in turn may hold for longer.
+func TestLongRunningTaskUsesHeldCapacity(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	step := newStep(1, 500)
+	step.LongRunning = true
+	job := newJob("long", step)
+	job.Queue.Name = "low"
+	f.apply(JobSubmitted{Job: job})
+	_, small := f.cycle()
+	is.Equal(small, 0)
+	is.Equal(f.m.Load().HoldingGangs, 1)
+	is.Equal(f.m.jobs["long"].openRuns, 1)
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -23,7 +23,7 @@
 	m.cycle++
 	m.updateQuarantineSuspension()
 	m.findUsableWorkers()
-	m.updateHoldState()
+	m.resetHoldState()
 	m.placeInOrder(steps)
 }
 
@@ -184,7 +184,7 @@
 
 // taskCapacity returns how many more tasks of a step fit on a worker.
 func (m *Machine) taskCapacity(w *worker, s *step) int {
-	return m.taskCapacityWithin(w.freeCapacity().Sub(m.heldOn(w)), w, s)
+	return m.taskCapacityWithin(m.availableCapacity(w, s), w, s)
 }
 
 // taskCapacityWithin returns how many tasks of a step fit into a free amount
