expect: count work without image and customer once

Cause: the levels of shape and of all of the work had the same key for work without image and customer, so that each of its samples was added twice and shrunk twice. Change: the depth is part of the key. Result: TestWorkWithoutImageCountsOnce fails without the change and passes with it.

--- a/internal/cell/expect/expect_test.go
+++ b/internal/cell/expect/expect_test.go
@@ -206,3 +206,17 @@
 	runtime.KeepAlive(samples)
 	runtime.KeepAlive(m)
 }
+
+// TestWorkWithoutImageCountsOnce guards against work without image and customer whose levels
+// have the same key, so that each of its samples counts twice.
+func TestWorkWithoutImageCountsOnce(t *testing.T) {
+	is := is.New(t)
+	with, without := NewModel(2), NewModel(2)
+	named := testWork
+	named.Image = "i"
+	for i := range 5 {
+		observe(with, 1, named, time.Duration(i+1)*time.Second, false)
+		observe(without, 1, testWork, time.Duration(i+1)*time.Second, false)
+	}
+	is.Equal(without.RunTime(0, testWork), with.RunTime(0, named))
+}
--- a/internal/cell/expect/level.go
+++ b/internal/cell/expect/level.go
@@ -20,6 +20,8 @@
 
 // levelKey identifies a level: a queue, a queue and shape, or all of Work but the estimate.
 type levelKey struct {
+	// depth distinguishes the levels of work that has no image and no customer.
+	depth                  uint8
 	queue, image, customer string
 	shape                  Shape
 }
@@ -28,8 +30,8 @@
 func levelKeys(w Work) [3]levelKey {
 	return [3]levelKey{
 		{queue: w.Queue},
-		{queue: w.Queue, shape: w.Shape},
-		{queue: w.Queue, shape: w.Shape, image: w.Image, customer: w.Customer},
+		{depth: 1, queue: w.Queue, shape: w.Shape},
+		{depth: 2, queue: w.Queue, shape: w.Shape, image: w.Image, customer: w.Customer},
 	}
 }
 
