owner: bound the objective of wide steps and long chains

Cause: waves times the expected run time exceeds a duration from 293 waves on, if a caller estimates a year, the highest valid value; so does a chain of 293 steps. The deadline was then in the past and the job first in its queue. Change: the time of a step and of a path is at most a year. Result: TestObjectiveDoesNotOverflow fails without either bound and passes with both.

--- a/internal/cell/owner/objective.go
+++ b/internal/cell/owner/objective.go
@@ -16,6 +16,10 @@
 // on; a wider one takes several waves.
 const waveRoomFraction = 0.25
 
+// maxPath bounds the expected time of a step and of a job, so that the multiples of it in the
+// objective do not overflow. It is the highest estimate of a run time that is accepted.
+const maxPath = 365 * 24 * time.Hour
+
 // expectation is what is expected of one step of a job, and when it was computed.
 type expectation struct {
 	// mean is the run time of a task, failures are the failed runs of a gang or, of another
@@ -53,7 +57,7 @@
 		return m.expectedRunTime(j, step)
 	}
 	e := m.expectationOf(j, step)
-	return time.Duration(e.failures+wavesOf(j.def.Steps[step].Count, e.width)) * e.mean
+	return e.timeOf(e.failures + wavesOf(j.def.Steps[step].Count, e.width))
 }
 
 // remainingStepTime returns the time that the unfinished tasks of a step need. remainingRunTime
@@ -67,7 +71,12 @@
 	if s := j.steps[cell.StepID{Job: j.def.ID, Step: step}]; s != nil && j.def.Repeat == 0 {
 		remaining -= s.doneTasks
 	}
-	return time.Duration(wavesOf(remaining, e.width)) * e.mean
+	return e.timeOf(wavesOf(remaining, e.width))
+}
+
+// timeOf returns the time of a number of runs one after the other, at most maxPath.
+func (e *expectation) timeOf(runs int) time.Duration {
+	return min(e.mean, maxPath/time.Duration(runs)) * time.Duration(runs)
 }
 
 // failuresOf counts the failed runs of a step, 0 for a repeated job, which is never late.
--- a/internal/cell/owner/objective_test.go
+++ b/internal/cell/owner/objective_test.go
@@ -67,3 +67,25 @@
 	is.Equal(objective("c", newStep(8, 500)), 8*time.Second) // two tasks at once
 	is.Equal(objective("", gang), 2*time.Second)
 }
+
+// TestObjectiveDoesNotOverflow guards against an overflow of the objective of a wide step
+// or a long chain with the highest valid estimate, which makes its job the most urgent one.
+func TestObjectiveDoesNotOverflow(t *testing.T) {
+	is := is.New(t)
+	f := newLearningFixture(t, true, "x")
+	f.m.refreshSpeeds()
+	wide := newStep(4000, 1000)
+	wide.Estimate = 365 * 24 * time.Hour
+	chain := make([]cell.Step, cell.MaxStepsPerJob)
+	for i := range chain {
+		chain[i] = newStep(1, 1000)
+		chain[i].Estimate, chain[i].DependsOn = wide.Estimate, []int{i - 1}
+	}
+	for _, steps := range [][]cell.Step{{wide}, chain} {
+		j := &job{def: newJob("j", steps...)}
+		objective := f.m.objective(j, &f.m.config.Queues[0])
+		is.True(objective > 364*24*time.Hour)
+		is.True(f.now+maxLateFactor*objective > objective)
+		is.True(f.m.remainingStepTime(j, 0) > 364*24*time.Hour)
+	}
+}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -122,8 +122,8 @@
 }
 
 // criticalPath returns the largest sum of costs along the dependencies of
-// the steps. The estimates of a job's objective and remaining run time use
-// it.
+// the steps, at most maxPath. The estimates of a job's objective and remaining
+// run time use it.
 func criticalPath(steps []cell.Step, cost func(step int) time.Duration) time.Duration {
 	finishTimes := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
@@ -133,7 +133,7 @@
 				finishTimes[i] = max(finishTimes[i], finishTimes[d])
 			}
 		}
-		finishTimes[i] += cost(i)
+		finishTimes[i] = min(finishTimes[i]+cost(i), maxPath)
 		longest = max(longest, finishTimes[i])
 	}
 	return longest
