owner: compute expected ends of runs once a cycle for gangs that hold capacity

Cause: each waiting gang with tickets sorted the runs of all workers of its tickets in each scheduling cycle, which runs every few milliseconds. Change: the ends are computed once a cycle for each worker, and places are sought for the 64 most urgent gangs only. TestPlacesAreSoughtForFewGangs fails without the bound.

--- a/internal/cell/owner/gangroom.go
+++ b/internal/cell/owner/gangroom.go
@@ -25,6 +25,9 @@
 	// maxHeldFraction bounds the capacity of a service that all gangs hold together, since it
 	// is idle until they start. A single gang may be larger.
 	maxHeldFraction = 0.2
+	// maxHoldAttempts is the number of gangs per scheduling cycle for which places are sought,
+	// the most urgent ones, so that the cost of a cycle does not grow with their number.
+	maxHoldAttempts = 64
 	// minRemainingFraction of a run's expected time remains of a run that has exceeded it.
 	minRemainingFraction = 0.25
 	// heldPenalty is the penalty of a worker for a task that would use capacity that a gang
@@ -41,6 +44,8 @@
 	// gangs that hold it.
 	held  int64
 	gangs int
+	// attempts is the number of gangs of this cycle for which places were sought.
+	attempts int
 	// workers and places are reused by holdRoom.
 	workers []*worker
 	places  []room.Worker
@@ -63,7 +68,7 @@
 // resetHoldState resets the state at the start of a scheduling cycle. runCycle calls it.
 func (m *Machine) resetHoldState() {
 	clear(m.hold.services)
-	m.hold.held, m.hold.gangs = 0, 0
+	m.hold.held, m.hold.gangs, m.hold.attempts = 0, 0, 0
 }
 
 // serviceHoldOf returns the state of a service, or nil if it has no workers.
@@ -137,9 +142,10 @@
 	total := charge.Times(int64(need))
 	service := m.serviceHoldOf(q.Service)
 	held := service.held.Add(total)
-	if !service.held.IsZero() && shares.UsedFraction(held, service.capacity) > maxHeldFraction {
+	if !service.held.IsZero() && shares.UsedFraction(held, service.capacity) > maxHeldFraction || m.hold.attempts >= maxHoldAttempts {
 		return
 	}
+	m.hold.attempts++
 	workers, places := m.hold.workers[:0], m.hold.places[:0]
 	for i := range s.advice.tickets {
 		t := &s.advice.tickets[i]
@@ -185,15 +191,8 @@
 	if len(out) == need {
 		return out
 	}
-	ends := make([]runEnd, 0, len(w.runList))
-	for _, r := range w.runList {
-		if at := m.expectedEnd(r); at <= latest {
-			ends = append(ends, runEnd{at, r.allocated})
-		}
-	}
-	slices.SortFunc(ends, func(a, b runEnd) int { return cmp.Compare(a.at, b.at) })
-	for _, e := range ends {
-		if len(out) == need {
+	for _, e := range m.runEndsOn(w) {
+		if len(out) == need || e.at > latest {
 			break
 		}
 		free = free.Add(e.allocated)
@@ -204,6 +203,22 @@
 	return out
 }
 
+// runEndsOn returns the expected ends of the runs on a worker, in ascending order. They are
+// computed once in each scheduling cycle, since many gangs may have tickets for one worker.
+func (m *Machine) runEndsOn(w *worker) []runEnd {
+	if w.endsInCycle == m.cycle {
+		return w.ends
+	}
+	w.endsInCycle, w.ends = m.cycle, w.ends[:0]
+	for _, r := range w.runList {
+		if at := m.expectedEnd(r); at < neverEnds {
+			w.ends = append(w.ends, runEnd{at, r.allocated})
+		}
+	}
+	slices.SortFunc(w.ends, func(a, b runEnd) int { return cmp.Compare(a.at, b.at) })
+	return w.ends
+}
+
 // neverEnds is the expected end of a long-running task.
 const neverEnds = time.Duration(1<<63 - 1)
 
--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -155,3 +155,18 @@
 	is.Equal(f.m.Load().HoldingGangs, 1)
 	is.Equal(f.m.jobs["long"].openRuns, 1)
 }
+
+// TestPlacesAreSoughtForFewGangs guards the owner's processor against thousands of waiting gangs:
+// each looks at the runs of all workers for which it has tickets, in each cycle.
+func TestPlacesAreSoughtForFewGangs(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	for i := range 3 * maxHoldAttempts {
+		j := newJob(simJobID(i), newGang(2))
+		f.apply(JobSubmitted{Job: j})
+		f.m.jobs[j.ID].stepsInOrder[0].advice.putTicket(ticket{worker: f.m.workers["a"], text: "t", expiresAt: f.now + slowAdvice.Validity, workerStartedAt: 1})
+	}
+	f.m.isCycleNeeded = true
+	f.schedule(AdviceCapacity{LongQueryTime: time.Second})
+	is.Equal(f.m.hold.attempts, maxHoldAttempts)
+}
--- a/internal/cell/owner/workers.go
+++ b/internal/cell/owner/workers.go
@@ -73,6 +73,9 @@
 	// held is the capacity that gangs hold in the scheduling cycle heldInCycle.
 	held        structs.Resources
 	heldInCycle int
+	// ends are the expected ends of the runs as of the scheduling cycle endsInCycle.
+	ends        []runEnd
+	endsInCycle int
 	// unknownRuns counts the runs on the worker that the owner does not know.
 	unknownRuns int
 	// backoffUntil is the time before which the worker gets no new tasks.
