expect: compare the runs of a wide step together

Cause: the runs of a step of more than 64 tasks were compared in parts, in the order of their ends. The runs of a part are alike: fast workers end first. Change: the runs are compared when the last task is done. The owner keeps more for each task of an unfinished step than the 32 bytes of a run. The tests add runs in the order of their ends; TestRunsOnOneWorkerDoNotCompare marks the last of its 64 runs, since none is compared before. Result: TestSlowWorkersAreFound has a step of 240 tasks, which fails without the change.

--- a/internal/cell/expect/expect.go
+++ b/internal/cell/expect/expect.go
@@ -161,7 +161,7 @@
 	switch {
 	case s.Siblings != nil:
 		s.Siblings.add(s.Workers[0], logTime)
-		if s.IsLast || s.Siblings.isFull() {
+		if s.IsLast {
 			m.compareSiblings(now, s.Work, s.Siblings)
 		}
 	case len(s.Workers) == 1 && before.isKnown:
--- a/internal/cell/expect/expect_test.go
+++ b/internal/cell/expect/expect_test.go
@@ -1,10 +1,12 @@
 package expect
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +24,8 @@
 	}
 }
 
-// observeStep adds a step of random size with a task on each of some workers.
+// observeStep adds a step of random size with a task on each of some workers, in the order in
+// which they end.
 func observeStep(m *Model, rng *rand.Rand, now time.Duration, slowness []float64, tasks int, spread float64) {
 	size := rng.NormFloat64() * 0.5
 	work := testWork
@@ -31,12 +34,18 @@
 	if tasks > 1 {
 		s.Siblings = &Siblings{}
 	}
-	for i, w := range rng.Perm(len(slowness))[:tasks] {
+	var samples []Sample
+	for _, w := range rng.Perm(len(slowness))[:tasks] {
 		log := size + slowness[w] + rng.NormFloat64()*0.2
 		if rng.Float64() < 0.03 {
 			log += math.Log(7)
 		}
-		s.RunTime, s.Workers, s.IsLast = seconds(math.Exp(log)), []Incarnation{{fmt.Sprint(w), 1}}, i == tasks-1
+		s.RunTime, s.Workers = seconds(math.Exp(log)), []Incarnation{{fmt.Sprint(w), 1}}
+		samples = append(samples, s)
+	}
+	slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(a.RunTime, b.RunTime) })
+	samples[tasks-1].IsLast = true
+	for _, s := range samples {
 		m.ObserveDone(now, s)
 	}
 }
@@ -116,14 +125,15 @@
 // take seven times as long. Each worker has 20 runs; one in four may be slow.
 func TestSlowWorkersAreFound(t *testing.T) {
 	for _, slow := range []float64{1, 0.55} {
-		for _, tasks := range []int{1, 2, 10} {
+		for _, tasks := range []int{1, 2, 10, 240} {
 			t.Run(fmt.Sprint(slow, tasks), func(t *testing.T) {
 				is := is.New(t)
-				m, rng, slowness := NewModel(2), rand.New(rand.NewPCG(1, 1)), make([]float64, 48)
-				for i := 0; i < 48; i += 4 {
+				workers := max(48, tasks)
+				m, rng, slowness := NewModel(2), rand.New(rand.NewPCG(1, 1)), make([]float64, workers)
+				for i := 0; i < workers; i += 4 {
 					slowness[i] = -math.Log(slow)
 				}
-				for i := range 20 * 48 / tasks {
+				for i := range 20 * workers / tasks {
 					observeStep(m, rng, time.Duration(i*tasks)*50*time.Millisecond, slowness, tasks, 0.4)
 				}
 				found, mistaken := 0, 0
@@ -136,8 +146,8 @@
 						mistaken++
 					}
 				}
-				is.True(slow == 1 || found >= 9) // of 12
-				is.True(mistaken <= 2)
+				is.True(slow == 1 || found >= 9*workers/48) // of 12 in 48
+				is.True(mistaken <= 2*workers/48)
 			})
 		}
 	}
@@ -162,8 +172,9 @@
 // of a step that were all on this worker.
 func TestRunsOnOneWorkerDoNotCompare(t *testing.T) {
 	m, siblings := NewModel(2), &Siblings{}
-	for range maxSiblings {
-		m.ObserveDone(0, Sample{Work: testWork, RunTime: 5 * time.Second, Workers: []Incarnation{{"w", 1}}, Siblings: siblings})
+	const runs = 64
+	for i := range runs {
+		m.ObserveDone(0, Sample{Work: testWork, RunTime: 5 * time.Second, Workers: []Incarnation{{"w", 1}}, Siblings: siblings, IsLast: i == runs-1})
 	}
 	is.New(t).True(!m.WorkerSpeed(0, "w", 1).IsDistinct(DistinctDeviations))
 }
--- a/internal/cell/expect/speed.go
+++ b/internal/cell/expect/speed.go
@@ -25,8 +25,6 @@
 	// priorNoiseVariance is the variance of the logarithm of run times within a step that is
 	// assumed without samples.
 	priorNoiseVariance = 0.3 * 0.3
-	// maxSiblings is the number of runs of a step that are compared with each other.
-	maxSiblings = 64
 	// maxWorkers bounds the workers that are remembered.
 	maxWorkers = 8192
 	// medianFactor is the variance of a median of normal values, relative to that of a mean.
@@ -117,8 +115,8 @@
 }
 
 // Siblings collects finished runs of one step until they are compared. The owner keeps one with
-// each step. Runs are compared together and not one by one: those on fast workers end first, so
-// that each later one would look slow.
+// each step. Runs are compared when all have ended, and not one by one or in parts: those on fast
+// workers end first, so that each later one would look slow, and the runs of a part are alike.
 type Siblings struct {
 	runs []siblingRun
 }
@@ -133,8 +131,6 @@
 	s.runs = append(s.runs, siblingRun{w, logTime})
 }
 
-func (s *Siblings) isFull() bool { return len(s.runs) >= maxSiblings }
-
 // workerRuns are the runs of a step on one worker.
 type workerRuns struct {
 	worker Incarnation
