owner: learn speeds from steps whose last run is left out

Cause: the runs of a step were compared with the last run that is learned from. A resumed run, one of a restarted worker or one that another owner started is left out and often ends last, so that the runs of its step were never compared. Change: completeTask has the runs compared once the step is done. Result: TestSpeedsAreLearnedIfTheLastRunIsNot fails without the change.

--- a/internal/cell/expect/expect.go
+++ b/internal/cell/expect/expect.go
@@ -2,7 +2,8 @@
 // runs. Old observations lose weight exponentially.
 //
 // It calculates in logarithms: the time of a run is the size of its task times the slowness of
-// its worker times noise. Model.ObserveDone adds a finished run, Model.RunTime predicts the time
+// its worker times noise. Model.ObserveDone adds a finished run, Model.CompareSiblings derives
+// speeds from the runs of a finished step, Model.RunTime predicts the time
 // of a task on a worker of usual speed, Model.WorkerSpeed returns the speed of a worker.
 //
 // The package reads no clock: now is a duration since an arbitrary start and must not decrease.
@@ -141,8 +142,6 @@
 	// Siblings collects the runs of the step, from which the speeds of workers are derived.
 	// It is nil for a step with a single task and for a gang.
 	Siblings *Siblings
-	// IsLast is true for the last task of the step.
-	IsLast bool
 }
 
 // ObserveDone adds a finished run. The members of a gang advance together, as fast as the
@@ -161,9 +160,6 @@
 	switch {
 	case s.Siblings != nil:
 		s.Siblings.add(s.Workers[0], logTime)
-		if s.IsLast {
-			m.compareSiblings(now, s.Work, s.Siblings)
-		}
 	case len(s.Workers) == 1 && before.isKnown:
 		m.observeWorker(now, s.Workers[0], logTime-before.centre, before.variance, 1)
 	}
--- a/internal/cell/expect/expect_test.go
+++ b/internal/cell/expect/expect_test.go
@@ -44,10 +44,12 @@
 		samples = append(samples, s)
 	}
 	slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(a.RunTime, b.RunTime) })
-	samples[tasks-1].IsLast = true
 	for _, s := range samples {
 		m.ObserveDone(now, s)
 	}
+	if s.Siblings != nil {
+		m.CompareSiblings(now, work, s.Siblings)
+	}
 }
 
 // TestWithoutSamplesTheEstimateCounts guards against a new owner that predicts anything else
@@ -172,10 +174,10 @@
 // of a step that were all on this worker.
 func TestRunsOnOneWorkerDoNotCompare(t *testing.T) {
 	m, siblings := NewModel(2), &Siblings{}
-	const runs = 64
-	for i := range runs {
-		m.ObserveDone(0, Sample{Work: testWork, RunTime: 5 * time.Second, Workers: []Incarnation{{"w", 1}}, Siblings: siblings, IsLast: i == runs-1})
+	for range 64 {
+		m.ObserveDone(0, Sample{Work: testWork, RunTime: 5 * time.Second, Workers: []Incarnation{{"w", 1}}, Siblings: siblings})
 	}
+	m.CompareSiblings(0, testWork, siblings)
 	is.New(t).True(!m.WorkerSpeed(0, "w", 1).IsDistinct(DistinctDeviations))
 }
 
--- a/internal/cell/expect/speed.go
+++ b/internal/cell/expect/speed.go
@@ -140,11 +140,14 @@
 	speedVariance     float64
 }
 
-// compareSiblings derives the speeds of workers from the collected runs of a step and clears
-// them. The time on a worker of usual speed is the median over the other workers, each corrected
+// CompareSiblings derives the speeds of workers from the collected runs of a step and clears
+// them. The owner calls it once all tasks of the step are done. The time on a worker of usual speed is the median over the other workers, each corrected
 // by what is known of its speed, combined with the prediction. Runs on the same worker say
 // nothing about its speed relative to each other.
-func (m *Model) compareSiblings(now time.Duration, work Work, siblings *Siblings) {
+func (m *Model) CompareSiblings(now time.Duration, work Work, siblings *Siblings) {
+	if len(siblings.runs) == 0 {
+		return
+	}
 	byWorker := m.groupByWorker(now, siblings.runs)
 	siblings.runs = nil
 	predicted := m.predict(now, work)
--- a/internal/cell/owner/expectations.go
+++ b/internal/cell/owner/expectations.go
@@ -85,11 +85,20 @@
 		if s.siblings == nil {
 			s.siblings = &expect.Siblings{}
 		}
-		sample.Siblings, sample.IsLast = s.siblings, s.doneTasks == len(s.tasks)-1
+		sample.Siblings = s.siblings
 	}
 	m.learning.model.ObserveDone(m.now.Mono, sample)
 }
 
+// learnSpeeds derives the speeds of workers from the runs of a step that is done. completeTask
+// calls it, also if the last run of the step is left out of the model.
+func (m *Machine) learnSpeeds(s *step) {
+	if s.siblings != nil {
+		m.learning.model.CompareSiblings(m.now.Mono, workOf(s.job, s.id.Step), s.siblings)
+		s.siblings = nil
+	}
+}
+
 // hasKnownTime reports whether a run began from the beginning of its task, at a time that this
 // owner knows. learnFrom calls it.
 func (r *run) hasKnownTime() bool {
--- a/internal/cell/owner/expectations_test.go
+++ b/internal/cell/owner/expectations_test.go
@@ -88,3 +88,15 @@
 	is.Equal(len(f.m.learning.model.Queues(f.now, 1)), 1)
 	is.True(f.m.learning.model.Queues(f.now, 1)[0].Samples <= 1)
 }
+
+// TestSpeedsAreLearnedIfTheLastRunIsNot guards against steps that teach nothing about workers
+// since their last run is left out: a task that is run again ends last.
+func TestSpeedsAreLearnedIfTheLastRunIsNot(t *testing.T) {
+	is := is.New(t)
+	f := newLearningFixture(t, true, "x", "y")
+	f.apply(JobSubmitted{Job: newJob("j", newStep(3, 2000)), Progress: &cell.Progress{State: cell.StateRunning,
+		Steps: []cell.StepProgress{{LastRun: 1, Checkpoints: map[int]string{2: "c"}}}}})
+	f.runJob(newJob("other", newStep(1, 500)), time.Second)
+	is.Equal(f.m.jobs["j"], nil)                                       // done
+	is.Equal(f.m.learning.model.WorkerSpeed(f.now, "x", 1).Samples, 2) // a run of each job
+}
--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -105,6 +105,7 @@
 		return
 	}
 	delete(m.waitingSteps, s.id)
+	m.learnSpeeds(s)
 	j := s.job
 	if m.isOccurrenceDone(j, s.id.Occurrence) {
 		j.openOccurrences--
