owner: gangs hold nothing for runs of unknown length

Cause: a run without an estimate and without samples has the expected run time 0 and counted as one that ends at once. Change: it counts as one that does not end while tickets are valid. Result: TestNothingIsHeldForRunsOfUnknownLength fails without the change.

--- a/internal/cell/owner/gangroom.go
+++ b/internal/cell/owner/gangroom.go
@@ -219,7 +219,7 @@
 	return w.ends
 }
 
-// neverEnds is the expected end of a long-running task.
+// neverEnds is the expected end of a long-running task, and of one of unknown run time.
 const neverEnds = time.Duration(1<<63 - 1)
 
 // expectedEnd returns when a run is expected to free its capacity.
@@ -231,6 +231,9 @@
 		return neverEnds
 	}
 	expected := m.expectedRunTime(r.job, r.id.Step)
+	if expected <= 0 {
+		return neverEnds
+	}
 	startedAt := r.startedAt
 	if startedAt == 0 {
 		startedAt = m.now.Mono
--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -170,3 +170,15 @@
 	f.schedule(AdviceCapacity{LongQueryTime: time.Second})
 	is.Equal(f.m.hold.attempts, maxHoldAttempts)
 }
+
+// TestNothingIsHeldForRunsOfUnknownLength guards against runs without an estimate and without
+// samples that count as ones that end at once, so that gangs hold capacity for them in vain.
+func TestNothingIsHeldForRunsOfUnknownLength(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	for i := range f.m.jobs["full"].def.Steps {
+		f.m.jobs["full"].def.Steps[i].Estimate = 0
+	}
+	_, small := f.cycle()
+	is.Equal(small, 2)
+}
