--- a/internal/cell/expect/expect_test.go
+++ b/internal/cell/expect/expect_test.go
@@ -106,6 +106,16 @@
 	is.True(p.Quantile(0.99) > 5*time.Second)
 }
 
+// TestChangedRunTimesAreFollowed guards against a prediction that stays at old run times.
+func TestChangedRunTimesAreFollowed(t *testing.T) {
+	m := NewModel(2)
+	observe(m, 100, testWork, time.Second, false)
+	for range 20 {
+		m.ObserveDone(4*halfLife, Sample{Work: testWork, RunTime: 4 * time.Second, Workers: []Incarnation{{fmt.Sprint(m.uses), 1}}})
+	}
+	is.New(t).True(m.RunTime(4*halfLife, testWork).Mean > 2*time.Second)
+}
+
 // TestFinestLevelWithSamplesCounts guards against images of one queue that are predicted alike
 // although they take different times, and against a new image without a prediction.
 func TestFinestLevelWithSamplesCounts(t *testing.T) {
--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -171,14 +171,47 @@
 	is.Equal(f.m.hold.attempts, maxHoldAttempts)
 }
 
-// TestNothingIsHeldForRunsOfUnknownLength guards against runs without an estimate and without
-// samples that count as ones that end at once, so that gangs hold capacity for them in vain.
-func TestNothingIsHeldForRunsOfUnknownLength(t *testing.T) {
+// TestNothingIsHeldInVain guards less urgent jobs against capacity that is held although the gang
+// cannot start while its tickets are valid, starts in the first cycle in which it fits, is asking
+// for other tickets or leaves the capacity to others.
+func TestNothingIsHeldInVain(t *testing.T) {
+	setEstimate := func(d time.Duration) func(f *fixture) {
+		return func(f *fixture) { f.m.jobs["full"].def.Steps[0].Estimate = d }
+	}
+	for _, c := range []struct {
+		name   string
+		change func(f *fixture)
+		want   int
+	}{
+		{"held", func(*fixture) {}, 0},
+		{"runs end after the tickets", setEstimate(time.Minute), 2},
+		{"runs of unknown length", setEstimate(0), 2},
+		{"long-running tasks", func(f *fixture) { f.m.jobs["full"].def.Steps[0].LongRunning = true }, 2},
+		{"query in flight", func(f *fixture) { f.gang().advice.queriesInFlight++ }, 2},
+		{"excess job", func(f *fixture) { f.m.jobs["g"].isExcess = true }, 2},
+		{"quick advice", func(f *fixture) {
+			quick := slowAdvice
+			quick.BaseTime = 10 * time.Millisecond
+			f.m.config.Queues[0].Advice = &quick
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newHoldFixture(t)
+			c.change(f)
+			_, small := f.cycle()
+			is.New(t).Equal(small, c.want)
+		})
+	}
+}
+
+// TestGangsHoldAPartOfAService guards against gangs that together leave nothing to others.
+func TestGangsHoldAPartOfAService(t *testing.T) {
 	is := is.New(t)
 	f := newHoldFixture(t)
-	for i := range f.m.jobs["full"].def.Steps {
-		f.m.jobs["full"].def.Steps[i].Estimate = 0
-	}
-	_, small := f.cycle()
-	is.Equal(small, 2)
+	f.m.adviceCapacity = unlimitedAdvice
+	f.m.resetHoldState()
+	f.m.holdRoom(f.gang(), &f.m.config.Queues[0], 1)
+	is.Equal(f.m.hold.held, int64(1000)) // a single gang may be above the bound
+	f.m.holdRoom(f.gang(), &f.m.config.Queues[0], 1)
+	is.Equal(f.m.hold.held, int64(1000))
 }
--- a/internal/cell/owner/objective_test.go
+++ b/internal/cell/owner/objective_test.go
@@ -66,6 +66,12 @@
 	is.Equal(objective("", newStep(8, 500)), 4*time.Second)  // two waves
 	is.Equal(objective("c", newStep(8, 500)), 8*time.Second) // two tasks at once
 	is.Equal(objective("", gang), 2*time.Second)
+
+	f.apply(JobSubmitted{Job: newJob("j", newStep(12, 500))})
+	j := f.m.jobs["j"]
+	is.Equal(f.m.remainingRunTime(j), 3*time.Second)
+	j.stepsInOrder[0].doneTasks = 4
+	is.Equal(f.m.remainingRunTime(j), 2*time.Second)
 }
 
 // TestObjectiveDoesNotOverflow guards against an overflow of the objective of a wide step
--- a/internal/cell/owner/speeds_test.go
+++ b/internal/cell/owner/speeds_test.go
@@ -53,6 +53,8 @@
 func TestPlacementFollowsKnownSpeeds(t *testing.T) {
 	gang, single, wide := newStep(4, 2000), newStep(1, 2000), newStep(6, 2000)
 	gang.Gang = true
+	smallGang := newStep(2, 2000)
+	smallGang.Gang = true
 	wideGang := wide
 	wideGang.Gang = true
 	for _, c := range []struct {
@@ -63,6 +65,7 @@
 	}{
 		{"gang", gang, 2, []string{"x", "x", "y", "y"}},
 		{"gang with slack", gang, 5, []string{"x", "x", "y", "y"}}, // a slow worker holds two of four
+		{"small gang with slack", smallGang, 5, []string{"a", "a"}},
 		{"single", single, 2, []string{"x"}},
 		{"single with slack", single, 5, []string{"a"}},
 		{"wide", wide, 2, []string{"a", "a", "x", "x", "y", "y"}},
