--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -188,7 +188,7 @@
 		{"runs of unknown length", setEstimate(0), 2},
 		{"long-running tasks", func(f *fixture) { f.m.jobs["full"].def.Steps[0].LongRunning = true }, 2},
 		{"query in flight", func(f *fixture) { f.gang().advice.queriesInFlight++ }, 2},
-		{"excess job", func(f *fixture) { f.m.jobs["g"].isExcess = true }, 2},
+		{"excess jobs", func(f *fixture) { f.m.jobs["g"].isExcess, f.m.jobs["small"].isExcess = true, true }, 2},
 		{"quick advice", func(f *fixture) {
 			quick := slowAdvice
 			quick.BaseTime = 10 * time.Millisecond
