--- a/internal/cell/owner/gangroom_test.go
+++ b/internal/cell/owner/gangroom_test.go
@@ -126,3 +126,92 @@
 	f.cycleOnly()
 	is.Equal(f.m.jobs["u"].stepsInOrder[0].tasks[0].run.worker.info.ID, "e")
 }
+
+// TestNothingIsHeldOfAHalfEmptyService guards the same rule while other services are full: it
+// counts the capacity of the job's service only.
+func TestNothingIsHeldOfAHalfEmptyService(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	for _, id := range []string{"a", "b"} {
+		f.m.workers[id].info.Service = "other"
+	}
+	_, small := f.cycle()
+	is.Equal(small, 2)
+	is.Equal(f.m.Load().HoldingGangs, 0)
+}
+
+// TestLongRunningTaskUsesHeldCapacity guards the rule that a long-running task that could run
+// has a run within seconds however full its service is; gangs in turn may hold for longer.
+func TestLongRunningTaskUsesHeldCapacity(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	step := newStep(1, 500)
+	step.LongRunning = true
+	job := newJob("long", step)
+	job.Queue.Name = "low"
+	f.apply(JobSubmitted{Job: job})
+	_, small := f.cycle()
+	is.Equal(small, 0)
+	is.Equal(f.m.Load().HoldingGangs, 1)
+	is.Equal(f.m.jobs["long"].openRuns, 1)
+}
+
+// TestPlacesAreSoughtForFewGangs guards the owner's processor against thousands of waiting gangs:
+// each looks at the runs of all workers for which it has tickets, in each cycle.
+func TestPlacesAreSoughtForFewGangs(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	for i := range 3 * maxHoldAttempts {
+		j := newJob(simJobID(i), newGang(2))
+		f.apply(JobSubmitted{Job: j})
+		f.m.jobs[j.ID].stepsInOrder[0].advice.putTicket(ticket{worker: f.m.workers["a"], text: "t", expiresAt: f.now + slowAdvice.Validity, workerStartedAt: 1})
+	}
+	f.m.isCycleNeeded = true
+	f.schedule(AdviceCapacity{LongQueryTime: time.Second})
+	is.Equal(f.m.hold.attempts, maxHoldAttempts)
+}
+
+// TestNothingIsHeldInVain guards less urgent jobs against capacity that is held although the gang
+// cannot start while its tickets are valid, starts in the first cycle in which it fits, is asking
+// for other tickets or leaves the capacity to others.
+func TestNothingIsHeldInVain(t *testing.T) {
+	setEstimate := func(d time.Duration) func(f *fixture) {
+		return func(f *fixture) { f.m.jobs["full"].def.Steps[0].Estimate = d }
+	}
+	for _, c := range []struct {
+		name   string
+		change func(f *fixture)
+		want   int
+	}{
+		{"held", func(*fixture) {}, 0},
+		{"runs end after the tickets", setEstimate(time.Minute), 2},
+		{"runs of unknown length", setEstimate(0), 2},
+		{"long-running tasks", func(f *fixture) { f.m.jobs["full"].def.Steps[0].LongRunning = true }, 2},
+		{"query in flight", func(f *fixture) { f.gang().advice.queriesInFlight++ }, 2},
+		{"excess jobs", func(f *fixture) { f.m.jobs["g"].isExcess, f.m.jobs["small"].isExcess = true, true }, 2},
+		{"quick advice", func(f *fixture) {
+			quick := slowAdvice
+			quick.BaseTime = 10 * time.Millisecond
+			f.m.config.Queues[0].Advice = &quick
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newHoldFixture(t)
+			c.change(f)
+			_, small := f.cycle()
+			is.New(t).Equal(small, c.want)
+		})
+	}
+}
+
+// TestGangsHoldAPartOfAService guards against gangs that together leave nothing to others.
+func TestGangsHoldAPartOfAService(t *testing.T) {
+	is := is.New(t)
+	f := newHoldFixture(t)
+	f.m.adviceCapacity = unlimitedAdvice
+	f.m.resetHoldState()
+	f.m.holdRoom(f.gang(), &f.m.config.Queues[0], 1)
+	is.Equal(f.m.hold.held, int64(1000)) // a single gang may be above the bound
+	f.m.holdRoom(f.gang(), &f.m.config.Queues[0], 1)
+	is.Equal(f.m.hold.held, int64(1000))
+}
