node: followers need a link of 20 Mbit/s

Change: the speed of the link is read from the settings; a VM with a slower one is no follower, as one with too little processor time. It still takes over if there is no other.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -77,6 +77,8 @@
 	// CPUCores is the CPU capacity of the VM in cores, usually a fraction of one.
 	// VMs with more of it claim the cell first.
 	CPUCores float64
+	// LinkMbps is the speed of the VM's network link in Mbit/s; 0 if it is not known.
+	LinkMbps float64
 	// LeaseLimit, GangTimeout, RemoteFactor, QuotaOvershoot and LearnRunTimes are passed to
 	// the state machine; see owner.Options.
 	LeaseLimit  time.Duration
@@ -268,9 +270,16 @@
 	nonFollowerClaimDelay = 1200 * time.Millisecond
 )
 
+// minFollowerLinkMbps is the slowest link of a follower, in Mbit/s. An owner of 350 workers sends
+// and receives 0.5 MB a second, and several times as much after a takeover, so that one with 10
+// Mbit/s answers all calls late.
+const minFollowerLinkMbps = 20
+
 // isFollower reports whether a VM reads the states of all jobs while it does
-// not own the cell.
-func isFollower(s Settings) bool { return s.CPUCores >= minFollowerCores }
+// not own the cell. A link of unknown speed counts as fast enough.
+func isFollower(s Settings) bool {
+	return s.CPUCores >= minFollowerCores && (s.LinkMbps == 0 || s.LinkMbps >= minFollowerLinkMbps)
+}
 
 // knowsAllJobs reports whether this VM knows the states of all jobs: as the
 // owner, or as a follower that has loaded both topics. Ready checks it, since a
