Do not count leases that are refused

Budget.Grow added the bytes first and took them back if they did not fit. In between, other leases that would fit were refused: with four goroutines whose 7 MB do not fit into 8 MB, 66,001 of 200,000 leases of 2 MB were. A compare-and-swap counts only what is granted; the new test then has no refusal.

--- a/internal/clientlimit/budget.go
+++ b/internal/clientlimit/budget.go
@@ -48,14 +48,27 @@
 	if total > smallBytes {
 		limit -= limit / reserveShare
 	}
-	if l.budget.used.Add(added) > limit {
-		l.budget.used.Add(-added)
+	if !l.budget.take(added, limit) {
 		return false
 	}
 	l.held = total
 	return true
 }
 
+// take adds to the used bytes if they stay within a limit. Bytes that do not fit are not counted
+// for an instant either: that would refuse others.
+func (b *Budget) take(added, limit int64) bool {
+	for {
+		used := b.used.Load()
+		if used+added > limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+added) {
+			return true
+		}
+	}
+}
+
 // Release returns the lease to the budget.
 func (l *Lease) Release() {
 	if l.budget != nil {
--- a/internal/clientlimit/clientlimit_test.go
+++ b/internal/clientlimit/clientlimit_test.go
@@ -161,3 +161,37 @@
 		Measure(body)
 	}
 }
+
+// TestRefusedLeasesTakeNoRoom guards small submissions against large ones that are refused at
+// the same moment: a lease that does not fit must not be counted for an instant either.
+func TestRefusedLeasesTakeNoRoom(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(8 << 20)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					l := b.Lease()
+					l.Grow(7 << 20)
+				}
+			}
+		})
+	}
+	refused := 0
+	for range 200_000 {
+		l := b.Lease()
+		if l.Grow(2 << 20) {
+			l.Release()
+		} else {
+			refused++
+		}
+	}
+	close(stop)
+	wg.Wait()
+	is.Equal(refused, 0)
+}
