Do not let a request that has just begun give its connection away first

Which connection gives way was decided by the time of its last answer, so that a client that began a request on a connection that had been idle was closed in the middle of it, before connections that had sent nothing. The time now counts from the first byte of the request.

A body whose connection was closed before its last byte was read ended with an error beside this byte, which io.ReadFull ignores: the job was submitted and nobody got the answer. The read now returns the error alone.

Both tests failed before; the package passes with -race, three times.

--- a/internal/gracefulhttp/limits.go
+++ b/internal/gracefulhttp/limits.go
@@ -150,7 +150,8 @@
 			_ = b.conn.SetReadDeadline(time.Time{})
 		}
 		if !b.conn.requestIsWhole() {
-			return n, net.ErrClosed
+			// io.ReadFull ignores an error that comes with the last byte.
+			return 0, net.ErrClosed
 		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.conn.server.report(ReasonBodyTime)
@@ -225,7 +226,8 @@
 }
 
 // withoutRequestSince returns since when the connection has been without a complete
-// request, if it is without one and not about to close. While the server drains, one of
+// request, if it is without one and not about to close. Once a byte of a request has been read,
+// that is since this byte: the time before it is the client's to use. While the server drains, one of
 // which a byte has been read counts as complete: nobody knows how much follows.
 func (c *conn) withoutRequestSince(isDraining bool) (time.Time, bool) {
 	c.mu.Lock()
@@ -233,6 +235,9 @@
 	if c.isWhole || c.isInterrupted || isDraining && c.hasRequest {
 		return time.Time{}, false
 	}
+	if c.hasRequest {
+		return c.requestBegunAt, true
+	}
 	return c.unusedSince, true
 }
 
--- a/internal/gracefulhttp/limits_test.go
+++ b/internal/gracefulhttp/limits_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -46,6 +47,13 @@
 	return s.seen[r]
 }
 
+// openConns returns the number of open connections.
+func (s *limitedServer) openConns() int {
+	s.Server.mu.Lock()
+	defer s.Server.mu.Unlock()
+	return len(s.conns)
+}
+
 func echo(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -260,3 +268,45 @@
 	is.True(s.count(ReasonWriteTime) >= 1)
 	is.NoErr(s.Shutdown(context.Background(), 0))
 }
+
+// TestConnectionThatBeginsARequestOutlastsIdleOnes guards a client that sends its next request
+// on a connection that was idle: the request, not the connection, has to be old to give way.
+func TestConnectionThatBeginsARequestOutlastsIdleOnes(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{}, 3)
+	s := serveLimited(t, Limits{MaxConns: 2}, func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		echo(w, r)
+	})
+	c := dial(t, s.addr)
+	_, err := io.WriteString(c, requestHeader+requestBody)
+	is.NoErr(err)
+	_, _, err = c.readAnswer()
+	is.NoErr(err)
+	<-begun
+	silent := dial(t, s.addr)
+	for s.openConns() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(c, requestHeader)
+	is.NoErr(err)
+	<-begun
+	other := dial(t, s.addr)
+	is.Equal(awaitEnd(t, silent), "")
+	_, err = io.WriteString(c, requestBody)
+	is.NoErr(err)
+	body, _, err := c.readAnswer()
+	is.NoErr(err)
+	is.Equal(body, requestBody)
+	other.Close()
+}
+
+// TestEndOfBodyOnAbandonedConnectionIsAnError guards against a handler that executes a request
+// whose connection has given its place away, so that nobody gets the answer. io.ReadFull
+// drops an error that comes with the last byte.
+func TestEndOfBodyOnAbandonedConnectionIsAnError(t *testing.T) {
+	is := is.New(t)
+	body := trackedBody{ReadCloser: io.NopCloser(iotest.DataErrReader(strings.NewReader(requestBody))), conn: &conn{isAbandoned: true}}
+	_, err := io.ReadFull(&body, make([]byte, len(requestBody)))
+	is.True(err != nil)
+}
--- a/internal/gracefulhttp/server.go
+++ b/internal/gracefulhttp/server.go
@@ -245,6 +245,8 @@
 	// unusedSince is when the connection was accepted or its last request was
 	// answered.
 	unusedSince time.Time
+	// requestBegunAt is when the first byte of the present request was read.
+	requestBegunAt time.Time
 	// isInterrupted is true while the read deadline has been moved to the past, to end
 	// the wait for a request. readDeadline is the one that http.Server has set.
 	isInterrupted bool
@@ -321,7 +323,9 @@
 
 // beginRequest does what requestBegins does. c.mu is locked.
 func (c *conn) beginRequest() {
-	c.hasRequest = true
+	if !c.hasRequest {
+		c.hasRequest, c.requestBegunAt = true, time.Now()
+	}
 	if c.isInterrupted {
 		c.isInterrupted = false
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
