--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -66,7 +66,7 @@
 // other error it may have been. It runs on the goroutine of a caller's
 // request, on every VM.
 func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
-	if job.Customer != "" && !n.knowsKeysInForce() {
+	if n.dependsOnKey(job) && !n.knowsKeysInForce() {
 		n.countRequest("submit", "not_run")
 		n.customerMetrics.count(job.Customer, outcomeConfigRefused)
 		err := &cell.NotExecutedError{RetryAfter: cell.ShortRetryAfter, Cause: errKeysUnknown}
@@ -95,6 +95,13 @@
 	return nil
 }
 
+// dependsOnKey reports whether a job is accepted only for its key, or belongs to a customer. The
+// name of a customer may be empty. Submit calls it.
+func (n *Node) dependsOnKey(job *cell.Job) bool {
+	config := n.config.Load()
+	return job.Customer != "" || config != nil && config.Customers != nil && !job.Queue.Public
+}
+
 // maxKeyAge is the age of the newest read of the configuration from which this VM does not accept
 // jobs of customers: a key must not be accepted later than 3 s after the acknowledgement of the
 // version that revokes it, also by a VM that was paused or reads nothing for another reason.
--- a/internal/cell/node/keysinforce_test.go
+++ b/internal/cell/node/keysinforce_test.go
@@ -171,7 +171,11 @@
 	var notExecuted *cell.NotExecutedError
 	is.True(errors.As(submit("b", "customer"), &notExecuted))
 	is.Equal(store.Len(cell.TopicJobs), int64(1))
-	is.NoErr(submit("c", ""))
+	is.NoErr(submit("c", "")) // the configuration has no customers
+	n.config.Store(&cell.Config{Customers: &cell.Customers{}})
+	is.True(errors.As(submit("d", ""), &notExecuted)) // a customer without a name has keys too
+	public := &cell.Job{ID: "e", Queue: cell.Queue{Public: true}, Steps: []cell.Step{{Count: 1}}}
+	is.NoErr(n.Submit(ctx, public))
 }
 
 // TestVMIsNotReadyWithAnOldConfiguration guards against a VM that has just started, or that the
