Do not take a proxy whose call was cancelled for a fast one

A hedged call of the store is cancelled as soon as another route has answered. The time until then was a measurement of the proxy, so that one that did not answer at all counted as faster than the unmeasured ones and was called first. It now counts only if it is above what is assumed of the proxy. The new test failed before.

--- a/internal/cell/node/proxylatency.go
+++ b/internal/cell/node/proxylatency.go
@@ -42,6 +42,21 @@
 func (l *proxyLatencies) observe(addr string, took, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.add(addr, took, now)
+}
+
+// observeAtLeast adds the measurement of a call that would have taken longer. It counts only if the
+// proxy is assumed to be faster.
+func (l *proxyLatencies) observeAtLeast(addr string, took, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if took > l.latency(addr, now) {
+		l.add(addr, took, now)
+	}
+}
+
+// add adds a measurement. l.mu is locked.
+func (l *proxyLatencies) add(addr string, took, now time.Duration) {
 	if l.byAddr == nil {
 		l.byAddr = map[string]measuredLatency{}
 	}
@@ -68,13 +83,15 @@
 func (l *proxyLatencies) sort(addrs []string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	latency := func(addr string) time.Duration {
-		if m, known := l.byAddr[addr]; known && now-m.measuredAt <= proxyLatencyTTL {
-			return m.mean
-		}
-		return unmeasuredProxyLatency
+	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(l.latency(a, now), l.latency(b, now)) })
+}
+
+// latency returns the measured or assumed latency of a proxy. l.mu is locked.
+func (l *proxyLatencies) latency(addr string, now time.Duration) time.Duration {
+	if m, known := l.byAddr[addr]; known && now-m.measuredAt <= proxyLatencyTTL {
+		return m.mean
 	}
-	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(latency(a), latency(b)) })
+	return unmeasuredProxyLatency
 }
 
 // measuredProxy is the client of a store proxy that measures its latency. Reads that may wait
@@ -104,12 +121,16 @@
 }
 
 // observe adds the measurement of a call. A call whose result nobody needs any more, since
-// another proxy was faster, took at least as long as until then.
+// another route was faster, would have taken longer than until then.
 func (p measuredProxy) observe(ctx context.Context, startedAt time.Duration, outcome cellpb.Outcome, err error) {
 	now := bootTime()
-	took := now - startedAt
-	if ctx.Err() == nil && (err != nil || outcome == cellpb.Outcome_NOT_DONE) {
-		took = failedProxyLatency
+	isFailed := err != nil || outcome == cellpb.Outcome_NOT_DONE
+	switch {
+	case isFailed && ctx.Err() != nil:
+		p.latencies.observeAtLeast(p.addr, now-startedAt, now)
+	case isFailed:
+		p.latencies.observe(p.addr, failedProxyLatency, now)
+	default:
+		p.latencies.observe(p.addr, now-startedAt, now)
 	}
-	p.latencies.observe(p.addr, took, now)
 }
--- a/internal/cell/node/proxylatency_test.go
+++ b/internal/cell/node/proxylatency_test.go
@@ -59,3 +59,35 @@
 	l.sort(addrs, bootTime())
 	is.Equal(addrs, []string{"b", "a"})
 }
+
+// hangingProxy is a store proxy that does not answer.
+type hangingProxy struct{ cellpb.Cell }
+
+func (hangingProxy) Append(ctx context.Context, _ *cellpb.AppendRequest) (*cellpb.AppendResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestCancelledCallDoesNotMakeAProxyFast guards against a proxy that does not answer and counts as
+// the fastest, since another route answered soon after it was called.
+func TestCancelledCallDoesNotMakeAProxyFast(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var l proxyLatencies
+	l.observe("slow", 200*time.Millisecond, bootTime())
+	for _, addr := range []string{"hanging", "slow"} {
+		_, err := measuredProxy{Cell: hangingProxy{}, addr: addr, latencies: &l}.Append(ctx, &cellpb.AppendRequest{})
+		is.True(err != nil)
+	}
+	addrs := []string{"slow", "unmeasured", "hanging"}
+	l.sort(addrs, bootTime())
+	is.Equal(addrs, []string{"unmeasured", "hanging", "slow"})
+	l.observeAtLeast("hanging", 100*time.Millisecond, bootTime())
+	l.sort(addrs, bootTime())
+	is.Equal(addrs, []string{"unmeasured", "hanging", "slow"})
+	l.observe("fast", 50*time.Millisecond, bootTime())
+	addrs = []string{"hanging", "fast"}
+	l.sort(addrs, bootTime())
+	is.Equal(addrs, []string{"fast", "hanging"})
+}
