Test the shortened time of a body and the wait that gives way

Two mechanisms could be taken out without a failing test: LimitTime, and ending only the wait for a request on a connection that gives way. The new tests fail without them. The deadline of a body need not be cleared at its end: http.Server does so when it begins to watch the connection, and TestBodyDeadlineEndsWithTheBody passes without the line and with -race, twice.

--- a/internal/gracefulhttp/limits.go
+++ b/internal/gracefulhttp/limits.go
@@ -144,11 +144,8 @@
 	b.read += int64(n)
 	switch {
 	case err == io.EOF && !b.isWhole:
+		// http.Server has cleared the deadline: it watches for the end of the connection.
 		b.isWhole = true
-		if b.timeout > 0 {
-			// The read of http.Server that watches for the end of the connection goes on.
-			_ = b.conn.SetReadDeadline(time.Time{})
-		}
 		if !b.conn.requestIsWhole() {
 			// io.ReadFull ignores an error that comes with the last byte.
 			return 0, net.ErrClosed
--- a/internal/gracefulhttp/limits_test.go
+++ b/internal/gracefulhttp/limits_test.go
@@ -310,3 +310,34 @@
 	_, err := io.ReadFull(&body, make([]byte, len(requestBody)))
 	is.True(err != nil)
 }
+
+// TestHandlerShortensTheTimeOfABody guards against a body that occupies the server for longer
+// than its client waits.
+func TestHandlerShortensTheTimeOfABody(t *testing.T) {
+	is := is.New(t)
+	s := serveLimited(t, Limits{BodyTimeout: time.Hour}, func(w http.ResponseWriter, r *http.Request) {
+		r.Body.(interface{ LimitTime(time.Duration) }).LimitTime(50 * time.Millisecond)
+		echo(w, r)
+	})
+	c := dial(t, s.addr)
+	_, err := io.WriteString(c, requestHeader)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(awaitEnd(t, c), "HTTP/1.1 400"))
+	is.Equal(s.count(ReasonBodyTime), 1)
+}
+
+// TestRequestOnAConnectionThatGivesWayIsServed guards a request that arrives while the wait for it
+// is being ended.
+func TestRequestOnAConnectionThatGivesWayIsServed(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	defer ours.Close()
+	defer theirs.Close()
+	c := &conn{Conn: ours, server: New(&http.Server{})}
+	isClosed, isClosing := c.giveWay(false)
+	is.True(!isClosed)
+	is.True(isClosing)
+	c.bytesArrived([]byte("G"))
+	is.True(!c.isClosing())
+	is.True(c.requestIsWhole())
+}
