pacing: judge a pause by tails that show it; end pauses beside a target that is just exceeded

A pause whose request was lost ended 1 s after the decision, with tails of the time before it, and the target counted as exceeded without the tasks: the target could then be exceeded for over 4 s because of them.

Beside serving tasks at 1.00 to 1.02 of their target a pause never ended (0.6 s of work in 5 min), since a load within the assumed error of the tails led to no decision. It now counts as exceeded without the tasks.

--- a/internal/cell/pacing/pacing.go
+++ b/internal/cell/pacing/pacing.go
@@ -55,8 +55,6 @@
 	maxEffect   = 1
 	// keepEffect is the weight of former changes after each new one.
 	keepEffect = 0.9
-	// loadMargin is the error of a reported tail as a share of the target.
-	loadMargin = 0.02
 )
 
 // Sample is what a worker reports.
@@ -143,7 +141,7 @@
 	case p.percent == Paused:
 		// The tasks do not cause what exceeds the target while they are paused. They go on at the
 		// floor, and are paused again to see whether that is still so.
-		if p.hasPaused(now) && s.Load > 1+loadMargin {
+		if p.hasPaused(now) {
 			p.pause, p.floor, p.overSince = 0, Floor, now
 			p.change(now, p.floor, "target is exceeded without best-effort tasks")
 		}
@@ -156,8 +154,14 @@
 	}
 }
 
-// hasPaused reports whether the work has been paused for as long as it should be.
-func (p *Pacer) hasPaused(now time.Duration) bool { return now-p.pausedAt >= p.pause }
+// hasPaused reports whether the work has been paused for as long as it should be, and the tails
+// show it: the request to pause may have been lost, and a task may have started since. A task
+// that cannot be paused does not keep the others paused for longer than maxPause.
+func (p *Pacer) hasPaused(now time.Duration) bool {
+	elapsed := now - p.pausedAt
+	isShown := p.speed == 0 && now-p.speedSince >= settleTime
+	return elapsed >= p.pause && (isShown || elapsed >= maxPause)
+}
 
 // raise decides while no target is exceeded.
 func (p *Pacer) raise(now time.Duration, s Sample) {
--- a/internal/cell/pacing/pacing_test.go
+++ b/internal/cell/pacing/pacing_test.go
@@ -91,6 +91,30 @@
 	is.Equal(workOf(12*time.Second, 0.02, steady(0.85)), 12*time.Second)
 	is.True(workOf(time.Minute, 0.2, steady(0.92)) >= 2*time.Second) // a pace of 6 % keeps the target
 	is.True(workOf(time.Minute, 0.02, steady(1.5)) >= 3*time.Second)
+	is.True(workOf(time.Minute, 0.02, steady(1.01)) >= 3*time.Second) // by less than the error of a tail
 	surge := func(at time.Duration) float64 { return 1.2 - 0.7*min(1, math.Floor(at.Seconds()/10)) }
 	is.True(workOf(40*time.Second, 0.02, surge) >= 20*time.Second) // raised again once there is headroom
 }
+
+// TestPauseIsJudgedOnceItApplies guards the tail targets against a lost request to pause: a target that is still exceeded while
+// the tasks work is no sign that they do not cause it.
+func TestPauseIsJudgedOnceItApplies(t *testing.T) {
+	is := is.New(t)
+	const list = 300 * time.Millisecond
+	pacer, at, pace := pacing.New(0, pacing.Full), time.Duration(0), pacing.Full
+	next := func(speed float64) int {
+		at += list
+		return pacer.Next(at, pacing.Sample{Load: 1.2, Tasks: 1, Speed: speed})
+	}
+	for pace != pacing.Paused {
+		pace = next(float64(pace) / pacing.Full)
+	}
+	for end := at + 2*time.Second; at < end; {
+		is.Equal(next(0.1), pacing.Paused)
+	}
+	is.Equal(next(0), pacing.Paused) // the tail is that of the last half second
+	for range 3 {
+		pace = next(0)
+	}
+	is.Equal(pace, pacing.Floor)
+}
