owner: restart long-running tasks before the turns of the customers

While a service counts as full, a step of a customer with a high share waited for its turn behind all equally urgent steps of the others. A long-running task that has lost its run could so wait for an advice proxy for as long as others had steps to query about, while there was room for it; before shares its early deadline put it first. Steps with such a task stay before the turns. The test failed before.

--- a/internal/cell/owner/contention.go
+++ b/internal/cell/owner/contention.go
@@ -80,11 +80,12 @@
 }
 
 // placeEquallyUrgent places steps of one urgency. Those whose workers are not full come first:
-// the others would only take advice proxies from them.
+// the others would only take advice proxies from them. So do long-running ones that wait for a
+// restart: their share was granted before, and a task may be without a run for some seconds only.
 func (m *Machine) placeEquallyUrgent(steps []rankedStep) {
 	turns := shares.NewTurns[rankedStep](m.contention.capacity)
 	for _, r := range steps {
-		if s := m.contention.services[r.queue.Service]; s != nil && s.isFull {
+		if s := m.contention.services[r.queue.Service]; s != nil && s.isFull && !r.step.awaitsRestart() {
 			turns.Add(r.step.job.account, r)
 			continue
 		}
@@ -95,6 +96,11 @@
 	}
 }
 
+// awaitsRestart reports whether a task of a long-running step has lost its run.
+func (s *step) awaitsRestart() bool {
+	return s.def.LongRunning && slices.ContainsFunc(s.tasks, func(t task) bool { return t.run == nil && t.idleSince > 0 })
+}
+
 // measureContention measures the use of the usable workers and of the advice proxies at the
 // beginning of a cycle.
 func (m *Machine) measureContention(steps []rankedStep) {
--- a/internal/cell/owner/contention_test.go
+++ b/internal/cell/owner/contention_test.go
@@ -142,6 +142,36 @@
 	is.Equal(queried(), "abc")
 }
 
+// TestRestartIsNotSharedOut guards a long-running task whose run has ended: it must run again within seconds, and must not
+// wait for advice behind the steps of all customers with a lower share. One that never ran has its turn.
+func TestRestartIsNotSharedOut(t *testing.T) {
+	for _, hasRun := range []bool{false, true} {
+		is := is.New(t)
+		f := newAdviceFixture(t, 8)
+		config := *f.m.config
+		config.Customers = &cell.Customers{List: []cell.Customer{{Name: "large", Weight: 100}, {Name: "small", Weight: 100}}}
+		config.Index()
+		f.apply(ConfigChanged{Config: &config})
+		f.m.ledger.Account("large").Open(shares.Run{Need: structs.Resources{MilliCPU: 2000}})
+		submit := func(id cell.JobID, customer string, s cell.Step) {
+			f.apply(JobSubmitted{Job: &cell.Job{ID: id, Customer: customer, Queue: config.Queues[0], Steps: []cell.Step{s}, AcceptedAt: f.time().Wall}})
+		}
+		lasting := newStep(1, 1000)
+		lasting.LongRunning = true
+		submit("lasts", "large", lasting)
+		if hasRun {
+			f.m.jobs["lasts"].stepsInOrder[0].tasks[0].idleSince = f.now
+		}
+		for i := range 10 {
+			submit(simJobID(i), "small", newStep(1, 1000))
+		}
+		f.schedule(AdviceCapacity{FreeProxies: 1, FreeForLongQueries: 1, LongQueryTime: time.Second})
+		queries := actionsOf[QueryAdvice](f)
+		is.Equal(len(queries), 1)
+		is.Equal(queries[0].Step.Job == "lasts", hasRun)
+	}
+}
+
 // TestNothingChangesWithoutCustomers guards deployments without customers: names in the records
 // of jobs change neither the order nor the workers. Customers without limits do not either as
 // long as the workers are not full.
