owner: count waiting tasks as wanted only as far as the quota permits

A wide step of a customer at its quota made its service count as full for one cycle after each task that ended, since all its tasks were wanted; the order then went by shares while workers had room. The test failed before.

--- a/internal/cell/owner/contention.go
+++ b/internal/cell/owner/contention.go
@@ -29,8 +29,8 @@
 // serviceLoad is the use of the usable workers of a service.
 type serviceLoad struct {
 	capacity, used structs.Resources
-	// wanted is what the waiting steps want, except those of excess jobs and those that wait
-	// for their quota.
+	// wanted is what the waiting steps want, as far as each may by its quota alone, except those
+	// of excess jobs and those that wait for their quota.
 	wanted   structs.Resources
 	fullness shares.Fullness
 	isFull   bool
@@ -124,7 +124,8 @@
 		if r.step.job.isExcess {
 			c.excessQueries += r.step.advice.queriesInFlight
 		} else if s := c.services[r.queue.Service]; s != nil && !r.step.quotaWait.isWaiting {
-			s.wanted = s.wanted.Add(r.step.def.Charge().Times(int64(r.step.tasksWithoutRun())))
+			tasks := r.step.job.account.Room(r.step.claim(r.step.tasksWithoutRun()), m.cycle, shares.ForPlacement)
+			s.wanted = s.wanted.Add(r.step.def.Charge().Times(int64(tasks)))
 		}
 	}
 	for _, s := range c.services {
--- a/internal/cell/owner/contention_test.go
+++ b/internal/cell/owner/contention_test.go
@@ -142,6 +142,21 @@
 	is.Equal(queried(), "abc")
 }
 
+// TestQuotaBoundsWhatIsWanted guards the order by deadlines while workers have room: tasks that the quota of their customer does
+// not permit yet do not make them full.
+func TestQuotaBoundsWhatIsWanted(t *testing.T) {
+	is := is.New(t)
+	f := newQuotaFixture(t, 2000)
+	f.apply(JobSubmitted{Job: customerJob("wide", newStep(200, 1000))})
+	is.Equal(f.starts(), 2)
+	is.True(!f.m.contention.services["s"].isFull)
+	f.m.isCycleNeeded = true
+	is.Equal(f.starts(), 0)
+	f.apply(JobSubmitted{Job: newJob("other", newStep(200, 1000))})
+	f.starts()
+	is.True(f.m.contention.services["s"].isFull)
+}
+
 // TestRestartIsNotSharedOut guards a long-running task whose run has ended: it must run again within seconds, and must not
 // wait for advice behind the steps of all customers with a lower share. One that never ran has its turn.
 func TestRestartIsNotSharedOut(t *testing.T) {
