owner: keep room in the quota for a task that is larger than what becomes free at once

Small tasks of a customer at its quota took each part that became free, so that a larger task of a step before them never started as long as their stream lasted; only gangs and long-running tasks held room. A step of which no task may start now holds room for one task, for 10 s like a gang. The test failed before; the tests of the package pass.

--- a/internal/cell/owner/customers.go
+++ b/internal/cell/owner/customers.go
@@ -18,9 +18,9 @@
 	isLogged bool
 }
 
-// quotaHoldLimit is how long a gang that waits for its customer's quota keeps steps after it from
-// using the rest of the quota. Most tasks end within it; a gang for which that is not enough
-// would leave the rest unused for as long as the longest task takes.
+// quotaHoldLimit is how long a step that waits for its customer's quota, and is not long-running,
+// keeps steps after it from using the rest of the quota. Most tasks end within it; a step for
+// which that is not enough would leave the rest unused for as long as the longest task takes.
 const quotaHoldLimit = 10 * time.Second
 
 // configureCustomers applies the customers of the configuration. It runs for each ConfigChanged:
@@ -55,17 +55,25 @@
 	} else {
 		m.startQuotaWait(s, claim)
 	}
-	m.holdQuota(s, len(pending)-n)
+	m.holdQuota(s, n, len(pending)-n)
 	return pending[:n]
 }
 
 // holdQuota holds room in the quota for tasks of a step that wait for it, against the steps
-// after it in the cycle: those of a gang for quotaHoldLimit, and long-running ones, which must
-// not be without a run for seconds. withinQuota calls it.
-func (m *Machine) holdQuota(s *step, waiting int) {
+// after it in the cycle: the long-running ones, which must not be without a run for seconds, and
+// for quotaHoldLimit those of a gang or, if none of the step may start, one task of another step,
+// which may be larger than what becomes free at once. withinQuota calls it.
+func (m *Machine) holdQuota(s *step, permitted, waiting int) {
+	if !s.def.LongRunning {
+		if permitted > 0 || m.now.Mono-s.quotaWait.since >= quotaHoldLimit {
+			return
+		}
+		if !s.def.Gang {
+			waiting = min(waiting, 1)
+		}
+	}
 	claim := s.claim(waiting)
-	isHeld := s.def.LongRunning || s.def.Gang && m.now.Mono-s.quotaWait.since < quotaHoldLimit
-	if waiting > 0 && isHeld && s.job.account.CanDrainFor(claim) {
+	if waiting > 0 && s.job.account.CanDrainFor(claim) {
 		s.job.account.Hold(claim, m.cycle, shares.ForPlacement)
 	}
 }
--- a/internal/cell/owner/customers_test.go
+++ b/internal/cell/owner/customers_test.go
@@ -216,3 +216,28 @@
 	is.Equal(actionsOf[SendStart](f)[0].Start.Task.Job, cell.JobID("lasts"))
 	is.Equal(len(actionsOf[SendStart](f)), 1)
 }
+
+// TestLargeTaskGetsItsPartOfTheQuota guards a task that needs much of the quota against a stream of small tasks of its
+// customer, which come after it and take each part that becomes free.
+func TestLargeTaskGetsItsPartOfTheQuota(t *testing.T) {
+	is := is.New(t)
+	f := newQuotaFixture(t, 1000)
+	for i := range 10 {
+		f.apply(JobSubmitted{Job: customerJob(simJobID(i), newStep(1, 100))})
+	}
+	is.Equal(f.starts(), 10)
+	f.apply(JobSubmitted{Job: customerJob("large", newStep(2, 300))})
+	later := customerJob("later", newStep(100, 100))
+	later.Steps[0].Estimate = 2 * time.Second
+	f.apply(JobSubmitted{Job: later})
+	for i := range 3 {
+		is.Equal(f.starts(), 0)
+		f.finish(simJobID(i))
+	}
+	is.Equal(f.startedJobs(), []cell.JobID{"large"})
+	f.m.isCycleNeeded = true
+	is.Equal(f.starts(), 0)
+	f.now += quotaHoldLimit // by then the rest of the quota is not kept free for its second task
+	f.finish(simJobID(3))
+	is.Equal(f.startedJobs(), []cell.JobID{"later"})
+}
