--- a/internal/cell/owner/customers_test.go
+++ b/internal/cell/owner/customers_test.go
@@ -241,3 +241,20 @@
 	f.finish(simJobID(3))
 	is.Equal(f.startedJobs(), []cell.JobID{"later"})
 }
+
+// TestLoweredQuotaStopsUnansweredStarts guards QUOTA against a start that is sent again although the quota has fallen below
+// what is running: the worker may not have received it.
+func TestLoweredQuotaStopsUnansweredStarts(t *testing.T) {
+	is := is.New(t)
+	f := newQuotaFixture(t, 1000)
+	f.apply(JobSubmitted{Job: customerJob("a", newStep(1, 400))})
+	f.apply(JobSubmitted{Job: customerJob("b", newStep(1, 400))})
+	is.Equal(f.starts(), 2)
+	f.apply(StartResult{Task: cell.TaskID{StepID: cell.StepID{Job: "a"}}, Run: 1, Worker: "w"})
+	f.apply(StartResult{Task: cell.TaskID{StepID: cell.StepID{Job: "b"}}, Run: 1, Worker: "w", Err: cell.ErrAdviceBusy})
+	f.setQuota(300)
+	f.now += requestRetryInterval
+	f.apply(Tick{})
+	is.Equal(len(actionsOf[SendStart](f)), 0)
+	is.Equal(len(actionsOf[SendStop](f)), 1)
+}
