--- a/internal/cell/owner/contention.go
+++ b/internal/cell/owner/contention.go
@@ -29,8 +29,8 @@
 // serviceLoad is the use of the usable workers of a service.
 type serviceLoad struct {
 	capacity, used structs.Resources
-	// wanted is what the waiting steps want, except those of excess jobs and those that wait
-	// for their quota.
+	// wanted is what the waiting steps want, as far as each may by its quota alone, except those
+	// of excess jobs and those that wait for their quota.
 	wanted   structs.Resources
 	fullness shares.Fullness
 	isFull   bool
@@ -80,11 +80,12 @@
 }
 
 // placeEquallyUrgent places steps of one urgency. Those whose workers are not full come first:
-// the others would only take advice proxies from them.
+// the others would only take advice proxies from them. So do long-running ones that wait for a
+// restart: their share was granted before, and a task may be without a run for some seconds only.
 func (m *Machine) placeEquallyUrgent(steps []rankedStep) {
 	turns := shares.NewTurns[rankedStep](m.contention.capacity)
 	for _, r := range steps {
-		if s := m.contention.services[r.queue.Service]; s != nil && s.isFull {
+		if s := m.contention.services[r.queue.Service]; s != nil && s.isFull && !r.step.awaitsRestart() {
 			turns.Add(r.step.job.account, r)
 			continue
 		}
@@ -95,6 +96,11 @@
 	}
 }
 
+// awaitsRestart reports whether a task of a long-running step has lost its run.
+func (s *step) awaitsRestart() bool {
+	return s.def.LongRunning && slices.ContainsFunc(s.tasks, func(t task) bool { return t.run == nil && t.idleSince > 0 })
+}
+
 // measureContention measures the use of the usable workers and of the advice proxies at the
 // beginning of a cycle.
 func (m *Machine) measureContention(steps []rankedStep) {
@@ -118,7 +124,8 @@
 		if r.step.job.isExcess {
 			c.excessQueries += r.step.advice.queriesInFlight
 		} else if s := c.services[r.queue.Service]; s != nil && !r.step.quotaWait.isWaiting {
-			s.wanted = s.wanted.Add(r.step.def.Charge().Times(int64(r.step.tasksWithoutRun())))
+			tasks := r.step.job.account.Room(r.step.claim(r.step.tasksWithoutRun()), m.cycle, shares.ForPlacement)
+			s.wanted = s.wanted.Add(r.step.def.Charge().Times(int64(tasks)))
 		}
 	}
 	for _, s := range c.services {
