--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -86,6 +86,35 @@
 	return l.summary(), nil
 }
 
+// runningService submits fewer such jobs beside a service of three tasks that last, each of which
+// fills a worker.
+func runningService(rec *recorder, trouble bool) ([]string, error) {
+	const jobs, repeat = 70, 4000
+	l, err := newLab(rec, 4, 12, 16_000)
+	if l != nil {
+		defer l.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !l.awaitReady(20 * time.Second) {
+		return nil, errNotReady
+	}
+	l.submit(&jobInfo{ID: jobID(5000), Spec: "service", Steps: []stepInfo{{Count: 3, MilliCPU: 16_000, Lasting: true, MayMiss: 1}}}, 0)
+	l.traffic(10 * time.Second)
+	for n := range jobs {
+		j := &jobInfo{ID: jobID(1000 + n), Spec: "report", Steps: []stepInfo{{Count: 1, MilliCPU: 1000, Duration: 500 * time.Millisecond}}}
+		if trouble {
+			j.Repeat, j.Interval = repeat, time.Second
+			j.FirstRun = time.Now().Add(-time.Duration(j.Repeat) * j.Interval)
+		}
+		l.submit(j, n)
+		time.Sleep(30 * time.Millisecond)
+	}
+	l.traffic(35 * time.Second)
+	return l.summary(), nil
+}
+
 // manySteps submits large jobs at once: each has many steps of one task, most of which depend on
 // the others. Without trouble, the same tasks come in two steps a job.
 func manySteps(rec *recorder, trouble bool) ([]string, error) {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -20,9 +20,10 @@
 
 // cases by name.
 var cases = map[string]func(*recorder, bool) (broken []string, err error){
-	"empty-steps": emptySteps,
-	"due-times":   dueTimes,
-	"many-steps":  manySteps,
+	"due-times":       dueTimes,
+	"running-service": runningService,
+	"empty-steps":     emptySteps,
+	"many-steps":      manySteps,
 }
 
 func main() {
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -151,6 +151,9 @@
 
 func (w *worker) end(r *run, outcome string, now time.Time) {
 	delete(w.runs, r.task)
+	if outcome == "lapsed" && r.step.MayMiss > 0 && r.percent(now) == 100 {
+		w.fleet.checkAvail(r, now)
+	}
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.lastEnd++
 	w.ends = append(w.ends, ending{w.lastEnd, r.task, r.number, outcome})
@@ -165,6 +168,22 @@
 	w.fleet.changed = make(chan struct{})
 }
 
+// checkAvail checks AVAIL for a run whose lease has lapsed while it was at work; the caller makes
+// sure that no disruption is near.
+func (f *fleet) checkAvail(r *run, now time.Time) {
+	atWork := 0
+	for _, w := range f.workers {
+		for _, o := range w.runs {
+			if o.job == r.job && o.stepName == r.stepName && o.percent(now) == 100 {
+				atWork++
+			}
+		}
+	}
+	if away := r.step.Count - 1 - atWork; away >= r.step.MayMiss {
+		f.breakRule("AVAIL", "the lease of %s lapses on %s while the task is at work and %d others of its step are away, MayMiss is %d", r.task, r.worker.id, away, r.step.MayMiss)
+	}
+}
+
 // used returns what runs on a worker.
 func (w *worker) used() int64 {
 	var sum int64
