--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -153,3 +153,38 @@
 	l.askAll(ids)
 	return l.summary(), nil
 }
+
+// largeJobs submits jobs of a fifth of a megabyte: chains of steps, each of which names all earlier
+// ones. Without trouble, each step names the one before it only.
+func largeJobs(rec *recorder, trouble bool) ([]string, error) {
+	const jobs, steps = 400, 335
+	l, err := newLab(rec, 4, 12, 16_000)
+	if l != nil {
+		defer l.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !l.awaitReady(20 * time.Second) {
+		return nil, errNotReady
+	}
+	ids := l.traffic(3 * time.Second)
+	for n := range jobs {
+		j := &jobInfo{ID: jobID(1000 + n), Spec: "pipeline"}
+		for i := range steps {
+			s := stepInfo{Count: 1, MilliCPU: 200, Duration: 100 * time.Millisecond}
+			for d := range i {
+				if trouble || d == i-1 {
+					s.DependsOn = append(s.DependsOn, d)
+				}
+			}
+			j.Steps = append(j.Steps, s)
+		}
+		l.submit(j, n)
+		time.Sleep(20 * time.Millisecond)
+	}
+	ids = append(ids, l.traffic(6*time.Second)...)
+	l.watchLost(time.Now(), 20*time.Second)
+	l.askAll(ids)
+	return l.summary(), nil
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"running-service": runningService,
 	"empty-steps":     emptySteps,
 	"many-steps":      manySteps,
+	"large-jobs":      largeJobs,
 }
 
 func main() {
