Bound the due occurrences of repeated jobs for the cell, not for each job

Cause: each job released its due occurrences while its own open tasks were below 4,000, whatever the others had released. 150 jobs took 365 MB (638 bytes for each of 600,000 steps) of 284 MB. Each new owner opened them again, up to the last recorded one, and the steps of occurrences that were done stayed until the job ended. One scheduling cycle with them took 49.6 s: each of the 600,000 waiting steps went through the 4,000 steps of its job.

Change: an occurrence exists only if its tasks may soon be placed. Occurrences of all jobs share a budget of 1/16 of the memory limit. The next one released is that of the job that occupies least, of those the one due for longest. A job has up to 8 open occurrences that have not started, and one more each 250 ms while nothing of it runs. Half of the budget is for jobs without an open occurrence. An occurrence is removed once it is done and has no open run; the record then has a character for it, as long records had before. A new owner opens only recorded occurrences that are not done or have open runs, and decodes one job at a time. The objective of an occurrence counts from its due time, so that a backlog does not go before ordinary jobs.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -245,6 +245,7 @@
 		PeerAddr:        s.PeerAddr,
 		MetricsAddr:     s.MetricsAddr,
 		CPUCores:        s.CPUShare,
+		MemoryMB:        s.MemoryMB,
 		LinkMbps:        s.LinkMbps,
 		LeaseLimit:      s.MaxLease,
 		GangTimeout:     s.GangTimeout,
--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -54,6 +54,9 @@
 	// workerListInterval is the period at which the owner reads the workers'
 	// entries. A draining worker must get no new work after 2 s.
 	workerListInterval = 350 * time.Millisecond
+	// occurrenceMemoryDivisor is the part of the memory limit that the open occurrences of
+	// repeated jobs may take.
+	occurrenceMemoryDivisor = 16
 	// loadLogInterval is the period at which the owner logs the load of the cell.
 	loadLogInterval = time.Second
 	// minRemoteReachFraction is the fraction of the workers in other data centres
@@ -154,14 +157,15 @@
 		jobServices:     map[string]bool{},
 		followers:       map[string]helloMessage{},
 		machine: owner.New(owner.Options{
-			Term:           term,
-			LeaseLimit:     n.settings.LeaseLimit,
-			GangTimeout:    n.settings.GangTimeout,
-			RemoteFactor:   n.settings.RemoteFactor,
-			QuotaOvershoot: n.settings.QuotaOvershoot,
-			LearnRunTimes:  n.settings.LearnRunTimes,
-			OwnedAt:        n.election.OwnedAt(),
-			Seed:           uint64(bootTime()),
+			Term:             term,
+			LeaseLimit:       n.settings.LeaseLimit,
+			GangTimeout:      n.settings.GangTimeout,
+			RemoteFactor:     n.settings.RemoteFactor,
+			QuotaOvershoot:   n.settings.QuotaOvershoot,
+			LearnRunTimes:    n.settings.LearnRunTimes,
+			OccurrenceMemory: n.settings.MemoryMB << 20 / occurrenceMemoryDivisor,
+			OwnedAt:          n.election.OwnedAt(),
+			Seed:             uint64(bootTime()),
 		}, eventTime()),
 	}
 	return c
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -77,6 +77,8 @@
 	// CPUCores is the CPU capacity of the VM in cores, usually a fraction of one.
 	// VMs with more of it claim the cell first.
 	CPUCores float64
+	// MemoryMB is the memory limit of the process; 0 if it is not known.
+	MemoryMB int64
 	// LinkMbps is the speed of the VM's network link in Mbit/s; 0 if it is not known.
 	LinkMbps float64
 	// LeaseLimit, GangTimeout, RemoteFactor, QuotaOvershoot and LearnRunTimes are passed to
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -253,11 +253,13 @@
 	jobs := c.node.replica.unfinishedJobs(func(id cell.JobID, err error) {
 		c.log.Error("cannot decode job; it is not taken over", "id", string(id), "error", err.Error())
 	})
-	for _, u := range jobs {
+	count := 0
+	for u := range jobs {
+		count++
 		_ = c.node.panics.contain("takeover", func() { c.loadJob(u) })
 	}
 	c.finishedJobs = c.node.replica.finishedSubmissions()
-	c.log.Info("state is taken over", "term", c.term, "unfinished_jobs", len(jobs))
+	c.log.Info("state is taken over", "term", c.term, "unfinished_jobs", count)
 }
 
 // loadJob passes one unfinished job to the state machine. loadState calls it for each;
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"sync"
 	"time"
 
@@ -277,34 +278,50 @@
 	isCancelled bool
 }
 
-// unfinishedJobs decodes the jobs that have not ended or that have open runs.
-// It skips jobs that cannot be decoded and reports them. A new owner calls it
-// once, when it loads the state.
-func (r *replica) unfinishedJobs(report func(id cell.JobID, err error)) []unfinishedJob {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []unfinishedJob
-	for id, e := range r.jobs {
-		if e.job == nil || e.state.IsFinal() && !e.hasOpenRuns {
-			continue
-		}
-		u := unfinishedJob{isCancelled: e.isCancelled}
-		var err error
-		if u.job, err = cell.DecodeJob(id, e.job); err != nil {
-			report(id, err)
-			continue
-		}
-		if e.progress != nil {
-			if u.progress, err = cell.DecodeProgress(e.progress); err != nil {
+// unfinishedJobs decodes the jobs that have not ended or that have open runs, one at a time, so
+// that no more than one decoded record is in memory. It skips jobs that cannot be decoded and
+// reports them. A new owner calls it once, when it loads the state.
+func (r *replica) unfinishedJobs(report func(id cell.JobID, err error)) iter.Seq[unfinishedJob] {
+	return func(yield func(unfinishedJob) bool) {
+		for id, e := range r.unfinishedEntries() {
+			u, err := e.decode(id)
+			if err != nil {
 				report(id, err)
 				continue
 			}
+			if !yield(u) {
+				return
+			}
+		}
+	}
+}
+
+// unfinishedEntries returns copies of the entries of the jobs that have not ended or that have
+// open runs.
+func (r *replica) unfinishedEntries() map[cell.JobID]jobEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[cell.JobID]jobEntry{}
+	for id, e := range r.jobs {
+		if e.job != nil && (!e.state.IsFinal() || e.hasOpenRuns) {
+			out[id] = *e
 		}
-		out = append(out, u)
 	}
 	return out
 }
 
+// decode decodes the records of an unfinished job.
+func (e *jobEntry) decode(id cell.JobID) (u unfinishedJob, err error) {
+	u.isCancelled = e.isCancelled
+	if u.job, err = cell.DecodeJob(id, e.job); err != nil {
+		return u, err
+	}
+	if e.progress != nil {
+		u.progress, err = cell.DecodeProgress(e.progress)
+	}
+	return u, err
+}
+
 // expiredJobs are the jobs that are kept past their retention.
 type expiredJobs struct {
 	// states are the jobs of which only the state is in the store, submissions those whose
--- a/internal/cell/owner/finished.go
+++ b/internal/cell/owner/finished.go
@@ -106,12 +106,10 @@
 	}
 	delete(m.waitingSteps, s.id)
 	m.learnSpeeds(s)
-	j := s.job
-	if m.isOccurrenceDone(j, s.id.Occurrence) {
-		j.openOccurrences--
-		m.completeIfDone(j)
-	}
-	m.queueReadySteps(j)
+	m.markStepDone(s)
+	m.completeIfDone(s.job)
+	m.queueReadySteps(s.occurrence)
+	m.removeIfEnded(s.occurrence)
 }
 
 // markDone marks one task as done for completeTask; a task that is done
@@ -141,18 +139,6 @@
 	}
 }
 
-// isOccurrenceDone reports whether all steps of an occurrence are done.
-// completeTask calls it whenever a step is done.
-func (m *Machine) isOccurrenceDone(j *job, occurrence int) bool {
-	for i := range j.def.Steps {
-		s := j.steps[cell.StepID{Job: j.def.ID, Occurrence: occurrence, Step: i}]
-		if s == nil || s.doneTasks < len(s.tasks) {
-			return false
-		}
-	}
-	return true
-}
-
 // handleFailedRun counts a run with outcome failed and fails the job after
 // the last permitted attempt (cell.Queue.MaxAttempts). handleFinishedRun
 // calls it.
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"gypsumwinch/internal/cell"
@@ -22,15 +25,25 @@
 	state       cell.State
 	// recordedState is the state that the store holds.
 	recordedState cell.State
-	// steps holds the steps of released occurrences.
+	// steps holds the steps of open occurrences.
 	steps map[cell.StepID]*step
-	// stepsInOrder lists the steps in the order of their release.
+	// stepsInOrder lists the steps in the order of their creation.
 	stepsInOrder []*step
-	// releasedOccurrences counts the occurrences whose steps exist.
-	releasedOccurrences int
-	// openOccurrences counts the released occurrences that are not done.
-	openOccurrences int
-	submittedAt     time.Duration
+	// occurrences are the open ones by number, doneOccurrences those that are done.
+	occurrences     map[int]*occurrence
+	doneOccurrences occurrenceSet
+	// nextOccurrence is the lowest one that may still have to be released, lastReleaseAt when
+	// one was released last.
+	nextOccurrence int
+	lastReleaseAt  time.Duration
+	// unstartedOccurrences counts the open ones of which no run was planned yet.
+	unstartedOccurrences int
+	// occurrenceBytes is what an open occurrence takes in memory.
+	occurrenceBytes int64
+	// tasksPerOccurrence is the number of tasks of all steps, stepsWithTasks that of the steps
+	// that have any.
+	tasksPerOccurrence, stepsWithTasks int
+	submittedAt                        time.Duration
 	// expectations has the predicted run time of each step; see learnedRunTime.
 	expectations []expectation
 	finishedAt   time.Time
@@ -44,11 +57,13 @@
 
 // step is one step of one occurrence.
 type step struct {
-	id        cell.StepID
-	job       *job
-	def       *cell.Step
-	tasks     []task
-	doneTasks int
+	id  cell.StepID
+	job *job
+	// occurrence is the one that the step belongs to.
+	occurrence *occurrence
+	def        *cell.Step
+	tasks      []task
+	doneTasks  int
 	// lastRunNumber is the highest number of a run of the step.
 	lastRunNumber int
 	// gangFailures counts the failed runs of a gang.
@@ -126,8 +141,16 @@
 		state:         cell.StateQueued,
 		recordedState: cell.StateQueued,
 		steps:         map[cell.StepID]*step{},
+		occurrences:   map[int]*occurrence{},
 		submittedAt:   m.now.Mono - max(0, min(m.now.Wall.Sub(e.Job.AcceptedAt), time.Minute)),
 	}
+	for i := range e.Job.Steps {
+		if n := e.Job.Steps[i].Count; n > 0 {
+			j.tasksPerOccurrence += n
+			j.stepsWithTasks++
+		}
+	}
+	j.occurrenceBytes = estimateOccurrenceBytes(e.Job)
 	if e.Progress != nil {
 		j.state, j.recordedState = e.Progress.State, e.Progress.State
 	}
@@ -138,122 +161,30 @@
 		m.removeIfFinished(j)
 		return
 	}
+	m.restoreOccurrences(j, e.Progress)
 	if e.Job.Repeat > 0 {
 		m.recurringJobs[e.Job.ID] = j
+	} else if len(j.occurrences) == 0 && j.doneOccurrences.count == 0 {
+		m.openOccurrence(j, 0)
 	}
-	m.restoreOccurrences(j, e.Progress)
-	m.releaseOccurrences(j)
-	m.recoverRuns(j, e.Progress)
-	m.queueReadySteps(j)
-	m.completeIfDone(j)
-	m.isCycleNeeded = true
-}
-
-// restoreOccurrences releases the occurrences up to the last one with recorded progress.
-// The former owner has released them, also if they are not due yet by the clock of this
-// VM: their progress would be lost otherwise. addJob calls it.
-func (m *Machine) restoreOccurrences(j *job, progress *cell.Progress) {
-	if progress == nil {
-		return
-	}
-	recorded := len(progress.DoneOccurrences)
-	for _, p := range progress.Steps {
-		recorded = max(recorded, p.Occurrence+1)
-	}
-	for j.releasedOccurrences < min(recorded, j.def.Occurrences()) {
-		m.releaseOccurrence(j, j.releasedOccurrences, progress)
-	}
-}
-
-// releaseOccurrences creates the steps of every occurrence of a job that is
-// due. It runs when the job is added and, for repeated jobs, on each Tick.
-func (m *Machine) releaseOccurrences(j *job) {
-	for j.releasedOccurrences < j.def.Occurrences() && m.isDue(j, j.releasedOccurrences) && j.hasRoomForOccurrence() {
-		m.releaseOccurrence(j, j.releasedOccurrences, nil)
-	}
-	if j.releasedOccurrences == j.def.Occurrences() {
-		delete(m.recurringJobs, j.def.ID)
+	for _, o := range j.occurrences {
+		o.blockSteps()
 	}
-}
-
-// hasRoomForOccurrence reports whether the tasks of the open occurrences and of one
-// more stay below the limit of a job. releaseOccurrences calls it, so that a job whose
-// occurrences are all due at once does not fill the memory and its record.
-func (j *job) hasRoomForOccurrence() bool {
-	tasks := 0
-	for i := range j.def.Steps {
-		tasks += j.def.Steps[i].Count
+	m.recoverRuns(j, e.Progress)
+	for _, o := range j.occurrencesInOrder() {
+		m.queueReadySteps(o)
+		m.removeIfEnded(o)
 	}
-	return j.openOccurrences == 0 || (j.openOccurrences+1)*tasks <= cell.MaxTasksPerJob
-}
-
-// isDue reports whether an occurrence may start. releaseOccurrences calls it
-// for the next occurrence of a job.
-func (m *Machine) isDue(j *job, occurrence int) bool {
-	if j.def.Repeat == 0 {
-		return true
+	if j.def.Repeat > 0 {
+		m.releaseOccurrences(j)
 	}
-	at := j.def.FirstDueAt.Add(time.Duration(occurrence) * j.def.Interval)
-	return !m.now.Wall.Before(at)
+	m.completeIfDone(j)
+	m.isCycleNeeded = true
 }
 
-// releaseOccurrence creates the steps of one occurrence and restores what
-// progress holds about them; progress is nil for an occurrence that the
-// former owner had not released. restoreOccurrences and releaseOccurrences call it.
-func (m *Machine) releaseOccurrence(j *job, occurrence int, progress *cell.Progress) {
-	open := false
-	for i := range j.def.Steps {
-		s := &step{
-			id:    cell.StepID{Job: j.def.ID, Occurrence: occurrence, Step: i},
-			job:   j,
-			def:   &j.def.Steps[i],
-			tasks: make([]task, j.def.Steps[i].Count),
-		}
-		restoreStep(s, progress)
-		j.steps[s.id] = s
-		j.stepsInOrder = append(j.stepsInOrder, s)
-		if s.doneTasks < len(s.tasks) {
-			open = true
-		}
-	}
-	if open {
-		j.openOccurrences++
-	}
-	j.releasedOccurrences++
-}
-
-// restoreStep sets the done tasks, failed runs, checkpoints and last run number of a new
-// step from the recorded progress, if there is any. releaseOccurrence calls
-// it for each step.
-func restoreStep(s *step, progress *cell.Progress) {
-	if progress == nil {
-		return
-	}
-	for _, p := range progress.Steps {
-		if p.Occurrence != s.id.Occurrence || p.Step != s.id.Step {
-			continue
-		}
-		s.lastRunNumber = p.LastRun
-		for i := range s.tasks {
-			if i < len(p.DoneTasks) && p.DoneTasks[i] == '1' {
-				s.tasks[i].isDone = true
-				s.doneTasks++
-			}
-			s.tasks[i].failedRuns = p.FailedRuns[i]
-			s.tasks[i].checkpoint = p.Checkpoints[i]
-		}
-		if s.def.Gang {
-			s.gangFailures = p.FailedRuns[0]
-			s.lastFailedGangRun = p.LastFailedRun
-			s.checkpoint = p.Checkpoints[0]
-		}
-	}
-	if k := s.id.Occurrence; k < len(progress.DoneOccurrences) && progress.DoneOccurrences[k] == '1' {
-		for i := range s.tasks {
-			s.tasks[i].isDone = true
-		}
-		s.doneTasks = len(s.tasks)
-	}
+// occurrencesInOrder returns the open occurrences in the order of their numbers.
+func (j *job) occurrencesInOrder() []*occurrence {
+	return slices.SortedFunc(maps.Values(j.occurrences), func(a, b *occurrence) int { return cmp.Compare(a.number, b.number) })
 }
 
 // recoverRuns restores the runs that were open when the former owner
@@ -309,52 +240,6 @@
 	}
 }
 
-// releaseDueOccurrences releases the occurrences of all jobs that have
-// become due. It runs on each Tick.
-func (m *Machine) releaseDueOccurrences() {
-	for _, j := range m.recurringJobs {
-		before := j.releasedOccurrences
-		m.releaseOccurrences(j)
-		if j.releasedOccurrences > before {
-			m.queueReadySteps(j)
-			m.isCycleNeeded = true
-		}
-	}
-}
-
-// queueReadySteps adds the steps of a job whose dependencies are done to
-// waitingSteps. It runs when a job is added, when an occurrence is released
-// and when a step is done.
-func (m *Machine) queueReadySteps(j *job) {
-	if j.state.IsFinal() {
-		return
-	}
-	for _, s := range j.stepsInOrder {
-		if s.doneTasks == len(s.tasks) || s.isReady {
-			continue
-		}
-		if !m.dependenciesDone(s) {
-			continue
-		}
-		s.isReady = true
-		s.readyAt, s.idleSince = m.now.Mono, m.now.Mono
-		m.waitingSteps[s.id] = s
-		m.isCycleNeeded = true
-	}
-}
-
-// dependenciesDone reports whether all steps that a step depends on are
-// done. queueReadySteps calls it.
-func (m *Machine) dependenciesDone(s *step) bool {
-	for _, d := range s.def.DependsOn {
-		dependency := s.job.steps[cell.StepID{Job: s.id.Job, Occurrence: s.id.Occurrence, Step: d}]
-		if dependency == nil || dependency.doneTasks < len(dependency.tasks) {
-			return false
-		}
-	}
-	return true
-}
-
 // cancelJob cancels a job on request of its caller. It runs for each
 // JobCancelled and ignores a job that is unknown or has a final state.
 func (m *Machine) cancelJob(id cell.JobID) {
@@ -388,7 +273,7 @@
 // completeIfDone completes a job once all its occurrences are done. It runs
 // when an occurrence is done and when a job is added.
 func (m *Machine) completeIfDone(j *job) {
-	if j.state.IsFinal() || j.releasedOccurrences < j.def.Occurrences() || j.openOccurrences > 0 {
+	if j.state.IsFinal() || j.doneOccurrences.count < j.def.Occurrences() {
 		return
 	}
 	m.logDecision(string(j.def.ID), "job is completed", "queue", j.def.Queue.Name,
@@ -407,5 +292,6 @@
 		return
 	}
 	delete(m.jobs, j.def.ID)
+	m.occurrenceBytes -= int64(len(j.occurrences)) * j.occurrenceBytes
 	m.emit(JobFinished{Job: j.def.ID})
 }
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -29,6 +30,9 @@
 	// LearnRunTimes makes the owner learn run times and the speeds of workers from finished
 	// runs; otherwise it expects the mean of a caller's estimate and of the queue.
 	LearnRunTimes bool
+	// OccurrenceMemory bounds what the open occurrences of all repeated jobs take in memory, in
+	// bytes; 0 is defaultOccurrenceMemory.
+	OccurrenceMemory int64
 	// OwnedAt is when the claim of this term was sent, on the clock of Time.Mono.
 	OwnedAt time.Duration
 	Seed    uint64
@@ -94,7 +98,11 @@
 	waitingSteps map[cell.StepID]*step
 	// recurringJobs are the jobs with occurrences that are not released yet.
 	recurringJobs map[cell.JobID]*job
-	statsByQueue  map[string]*queueStats
+	// occurrenceMemory is the budget of the open occurrences in bytes, occurrenceBytes what they take.
+	occurrenceMemory, occurrenceBytes int64
+	// releaseQueue is reused by releaseDueOccurrences.
+	releaseQueue releaseQueue
+	statsByQueue map[string]*queueStats
 	// ledger has what each customer has running, and its quota.
 	ledger *shares.Ledger
 	// contention is what the order between customers depends on.
@@ -160,21 +168,22 @@
 
 		formerRenewalsEnd: now.Mono + AuthorityTimeout,
 
-		now:            now,
-		rand:           rand.New(rand.NewPCG(opts.Seed, uint64(opts.Term))),
-		jobs:           map[cell.JobID]*job{},
-		workers:        map[string]*worker{},
-		waitingSteps:   map[cell.StepID]*step{},
-		recurringJobs:  map[cell.JobID]*job{},
-		statsByQueue:   map[string]*queueStats{},
-		ledger:         shares.NewLedger(opts.QuotaOvershoot),
-		learning:       newLearning(opts),
-		dirtyJobs:      map[cell.JobID]*job{},
-		startedJobs:    map[cell.JobID]*job{},
-		pendingBatches: map[int]*batch{},
-		formerBounds:   map[string]LeaseBound{},
-		removedStated:  map[string]int64{},
-		failureRates:   failurerate.New(),
+		now:              now,
+		rand:             rand.New(rand.NewPCG(opts.Seed, uint64(opts.Term))),
+		jobs:             map[cell.JobID]*job{},
+		workers:          map[string]*worker{},
+		waitingSteps:     map[cell.StepID]*step{},
+		recurringJobs:    map[cell.JobID]*job{},
+		occurrenceMemory: cmp.Or(opts.OccurrenceMemory, defaultOccurrenceMemory),
+		statsByQueue:     map[string]*queueStats{},
+		ledger:           shares.NewLedger(opts.QuotaOvershoot),
+		learning:         newLearning(opts),
+		dirtyJobs:        map[cell.JobID]*job{},
+		startedJobs:      map[cell.JobID]*job{},
+		pendingBatches:   map[int]*batch{},
+		formerBounds:     map[string]LeaseBound{},
+		removedStated:    map[string]int64{},
+		failureRates:     failurerate.New(),
 	}
 }
 
--- a/internal/cell/owner/objective.go
+++ b/internal/cell/owner/objective.go
@@ -62,13 +62,14 @@
 
 // remainingStepTime returns the time that the unfinished tasks of a step need. remainingRunTime
 // calls it for each step that is not done.
-func (m *Machine) remainingStepTime(j *job, step int) time.Duration {
+func (m *Machine) remainingStepTime(o *occurrence, step int) time.Duration {
+	j := o.job
 	if m.learning.model == nil {
 		return m.expectedRunTime(j, step)
 	}
 	e := m.expectationOf(j, step)
 	remaining := j.def.Steps[step].Count
-	if s := j.steps[cell.StepID{Job: j.def.ID, Step: step}]; s != nil && j.def.Repeat == 0 {
+	if s := j.steps[cell.StepID{Job: j.def.ID, Occurrence: o.number, Step: step}]; s != nil {
 		remaining -= s.doneTasks
 	}
 	return e.timeOf(wavesOf(remaining, e.width))
--- a/internal/cell/owner/progress.go
+++ b/internal/cell/owner/progress.go
@@ -1,16 +1,13 @@
 package owner
 
 import (
-	"bytes"
-	"slices"
 	"strings"
 
 	"gypsumwinch/internal/cell"
 )
 
 // encodeProgress returns the value of the job's progress record. Once it would be too long
-// for the store, the occurrences that are done are summed up and it is compressed: the store
-// would refuse the batches of all jobs with it. TakeBatch calls it for each job that has changed.
+// for the store, it is compressed: the store would refuse the batches of all jobs with it. TakeBatch calls it for each job that has changed.
 func (j *job) encodeProgress() ([]byte, error) {
 	p := j.progress()
 	if !j.hasLongRecord {
@@ -20,35 +17,21 @@
 		}
 		j.hasLongRecord = true
 	}
-	j.sumUpDoneOccurrences(p)
 	return cell.EncodeLongProgress(p)
 }
 
-// sumUpDoneOccurrences replaces the steps of occurrences that are done by a character for
-// each occurrence, except steps with open runs. encodeProgress calls it.
-func (j *job) sumUpDoneOccurrences(p *cell.Progress) {
-	if j.state.IsFinal() {
-		return
-	}
-	done := bytes.Repeat([]byte{'1'}, j.releasedOccurrences)
-	for _, s := range j.stepsInOrder {
-		if s.doneTasks < len(s.tasks) {
-			done[s.id.Occurrence] = '0'
-		}
-	}
-	p.DoneOccurrences = string(done)
-	p.Steps = slices.DeleteFunc(p.Steps, func(sp cell.StepProgress) bool {
-		return done[sp.Occurrence] == '1' && len(sp.OpenRuns) == 0
-	})
-}
-
 // progress builds the progress record of the job. encodeProgress calls it.
 func (j *job) progress() *cell.Progress {
 	p := &cell.Progress{State: j.state}
 	if j.state.IsFinal() {
 		p.FinishedAt = j.finishedAt.Unix()
+	} else if j.def.Repeat > 0 {
+		p.DoneOccurrences = j.doneOccurrences.String()
 	}
 	for _, s := range j.stepsInOrder {
+		if j.def.Repeat > 0 && s.occurrence.isDone() && s.openRuns == 0 {
+			continue
+		}
 		if sp, ok := s.progress(j.state.IsFinal()); ok {
 			p.Steps = append(p.Steps, sp)
 		}
--- a/internal/cell/owner/runs.go
+++ b/internal/cell/owner/runs.go
@@ -149,6 +149,7 @@
 		if s.isReady && s.doneTasks < len(s.tasks) && !s.job.state.IsFinal() {
 			m.waitingSteps[s.id] = s
 		}
+		m.removeIfEnded(s.occurrence)
 	} else {
 		r.job.runsWithoutStep = slices.DeleteFunc(r.job.runsWithoutStep, func(o *run) bool { return o == r })
 	}
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -62,15 +62,16 @@
 const maxLateFactor = 3
 
 // rankStep computes the sort keys of a waiting step. runCycle calls it for
-// each waiting step. Long-running and repeated jobs are never late.
+// each waiting step. The objective of an occurrence counts from its due time. Long-running steps
+// are never late.
 func (m *Machine) rankStep(s *step) rankedStep {
 	q := m.currentQueue(s.job)
 	objective := m.objective(s.job, q)
-	r := rankedStep{step: s, queue: q, deadline: s.job.submittedAt + objective}
-	remaining := m.remainingRunTime(s.job)
-	finishTime := m.now.Mono - s.job.submittedAt + time.Duration(requiredWorkFraction*float64(remaining))
+	r := rankedStep{step: s, queue: q, deadline: s.occurrence.dueAt + objective}
+	remaining := m.remainingRunTime(s.occurrence)
+	finishTime := m.now.Mono - s.occurrence.dueAt + time.Duration(requiredWorkFraction*float64(remaining))
 	switch {
-	case s.def.LongRunning || s.job.def.Repeat > 0:
+	case s.def.LongRunning:
 	case finishTime > maxLateFactor*objective:
 		r.lateness = 2
 	case finishTime > objective:
@@ -154,19 +155,14 @@
 	return estimate
 }
 
-// remainingRunTime estimates the critical path of the steps that are not
-// done in some released occurrence. rankStep calls it to see whether the job
-// will be late.
-func (m *Machine) remainingRunTime(j *job) time.Duration {
-	isOpen := make([]bool, len(j.def.Steps))
-	for _, s := range j.stepsInOrder {
-		isOpen[s.id.Step] = isOpen[s.id.Step] || s.doneTasks < len(s.tasks)
-	}
-	return criticalPath(j.def.Steps, func(i int) time.Duration {
-		if !isOpen[i] {
+// remainingRunTime estimates the critical path of the steps of an occurrence that are not done.
+// rankStep calls it to see whether the occurrence will be late.
+func (m *Machine) remainingRunTime(o *occurrence) time.Duration {
+	return criticalPath(o.job.def.Steps, func(i int) time.Duration {
+		if o.isStepDone[i] {
 			return 0
 		}
-		return m.remainingStepTime(j, i)
+		return m.remainingStepTime(o, i)
 	})
 }
 
@@ -356,6 +352,7 @@
 	r.ticket, r.ticketExpiresAt = s.advice.validTicket(w, m.now.Mono)
 	s.tasks[index].run = r
 	s.lastRunNumber = number
+	s.occurrence.markStarted()
 	m.openRun(r)
 	return r
 }
--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -58,9 +58,10 @@
 	State State `json:"-"`
 	// Steps has only the steps about which there is something to record.
 	Steps []StepProgress `json:"p,omitempty"`
-	// DoneOccurrences has one character per released occurrence: '1' if all its steps are
-	// done, in which case Steps has only those of them that have open runs. It is only used
-	// with EncodeLongProgress: previous builds take a missing step as one that has not run.
+	// DoneOccurrences has one character per occurrence of a repeated job, up to the last one that
+	// is done: '1' if all its steps are done, in which case Steps has only those of them that
+	// have open runs. Records of previous builds list the steps of all occurrences instead,
+	// unless the record would be too long.
 	DoneOccurrences string `json:"n,omitempty"`
 	// FinishedAt is when the job reached a final state, in Unix seconds; 0 before.
 	FinishedAt int64 `json:"t,omitempty"`
