Create the steps of an occurrence once they are ready, and count them

Cause: the bound of a job's open occurrences counted tasks.

Change: a step exists in memory once its dependencies are done, or if progress of it is recorded. A step without a task never does: it counts as done from the beginning, as before. The budget of the cell counts steps and tasks. A job without any task completes without opening an occurrence.

Tests of internal/cell/owner pass. Steps without tasks stay legal.

--- a/internal/cell/owner/evidence_test.go
+++ b/internal/cell/owner/evidence_test.go
@@ -15,7 +15,7 @@
 	def := newJob(simJobID(number), newStep(1, 1))
 	def.Queue.MaxAttempts, def.Steps[0].Image = 0, "image"
 	j := &job{def: def, account: f.m.ledger.Account(def.Customer), state: cell.StateRunning, steps: map[cell.StepID]*step{}, occurrences: map[int]*occurrence{}}
-	s := f.m.openOccurrence(j, 0).steps[0]
+	s := f.m.openOccurrence(j, 0).ensureStep(0)
 	w := f.m.workers[worker]
 	r := &run{id: cell.TaskID{StepID: s.id}, number: 1, job: j, step: s, worker: w, phase: phaseRunning}
 	f.m.openRun(r)
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -25,7 +25,7 @@
 	state       cell.State
 	// recordedState is the state that the store holds.
 	recordedState cell.State
-	// steps holds the steps of open occurrences.
+	// steps holds the steps of open occurrences that are ready or have recorded progress.
 	steps map[cell.StepID]*step
 	// stepsInOrder lists the steps in the order of their creation.
 	stepsInOrder []*step
--- a/internal/cell/owner/occurrences.go
+++ b/internal/cell/owner/occurrences.go
@@ -15,7 +15,7 @@
 	number int
 	// dueAt is when the occurrence was due, on the clock of Time.Mono.
 	dueAt time.Duration
-	// steps are its steps, in the order in which they were created.
+	// steps are those of its steps that exist, in the order of their creation.
 	steps []*step
 	// isStepDone is true for the steps that are done or have no task, by step index.
 	isStepDone []bool
@@ -38,8 +38,9 @@
 // isDone reports whether all steps of the occurrence are done.
 func (o *occurrence) isDone() bool { return o.openSteps == 0 }
 
-// openOccurrence creates an occurrence and its steps. It is called for the only occurrence of a
-// job, for each one that is released and for each one with recorded progress.
+// openOccurrence creates an occurrence. It is called for the only occurrence of a job, for each
+// one that is released and for each one with recorded progress. Its steps are created once they
+// are ready or if progress of them is recorded.
 func (m *Machine) openOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{job: j, number: number, dueAt: m.dueTime(j, number), isStepDone: make([]bool, len(j.def.Steps))}
 	for i := range j.def.Steps {
@@ -47,7 +48,9 @@
 		if !o.isStepDone[i] {
 			o.openSteps++
 		}
-		o.addStep(i)
+	}
+	if o.isDone() {
+		j.doneOccurrences.add(number)
 	}
 	j.occurrences[number] = o
 	j.unstartedOccurrences++
@@ -68,11 +71,15 @@
 	return j.def.FirstDueAt.Add(time.Duration(number) * j.def.Interval)
 }
 
-// addStep creates a step of the occurrence.
-func (o *occurrence) addStep(index int) *step {
+// ensureStep returns a step of the occurrence, which it creates if it does not exist yet.
+func (o *occurrence) ensureStep(index int) *step {
+	id := cell.StepID{Job: o.job.def.ID, Occurrence: o.number, Step: index}
+	if s := o.job.steps[id]; s != nil {
+		return s
+	}
 	def := &o.job.def.Steps[index]
 	s := &step{
-		id:         cell.StepID{Job: o.job.def.ID, Occurrence: o.number, Step: index},
+		id:         id,
 		job:        o.job,
 		occurrence: o,
 		def:        def,
@@ -110,7 +117,7 @@
 			blocked = append(blocked, b)
 			continue
 		}
-		m.queueStep(o.job.steps[cell.StepID{Job: o.job.def.ID, Occurrence: o.number, Step: int(b.step)}])
+		m.queueStep(o.ensureStep(int(b.step)))
 	}
 	if len(blocked) == 0 {
 		blocked = nil
@@ -234,7 +241,7 @@
 // its recorded progress.
 func (o *occurrence) restoreStep(p *cell.StepProgress, isOccurrenceDone bool) {
 	o.markStarted()
-	s := o.job.steps[cell.StepID{Job: o.job.def.ID, Occurrence: o.number, Step: p.Step}]
+	s := o.ensureStep(p.Step)
 	s.lastRunNumber = p.LastRun
 	for i := range s.tasks {
 		t := &s.tasks[i]
--- a/internal/cell/owner/occurrences_test.go
+++ b/internal/cell/owner/occurrences_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -200,3 +201,64 @@
 	}
 	is.True(f.m.occurrenceBytes <= f.m.occurrenceMemory)
 }
+
+// emptySteps returns n steps without a task.
+func emptySteps(n int) []cell.Step { return make([]cell.Step, n) }
+
+// TestStepsWithoutTasksTakeNoMemory guards against a small job that ends every owner for its memory: the bound of its open
+// occurrences counted tasks, and most of its steps had none (review/13).
+func TestStepsWithoutTasksTakeNoMemory(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 16_000)
+	const jobs, limit = 100, 16 << 20
+	f.m.occurrenceMemory = limit
+	steps := append(emptySteps(cell.MaxStepsPerJob-1), newStep(1, 1000))
+	steps[len(steps)-1].DependsOn = []int{0, 7, 998}
+	before := heapBytes()
+	for n := range jobs {
+		f.apply(JobSubmitted{Job: f.repeatedJob(simJobID(n), 4000, steps...)})
+	}
+	started := f.runTasks(100)
+	is.Equal(len(started), 100*16) // the worker is always full
+	is.True(f.m.occurrenceBytes <= limit)
+	is.True(heapBytes()-before < limit)
+	runtime.KeepAlive(f)
+}
+
+// TestBoundOfOccurrencesCountsSteps guards against occurrences of many steps that take more memory than they are
+// counted with.
+func TestBoundOfOccurrencesCountsSteps(t *testing.T) {
+	is := is.New(t)
+	for _, steps := range [][]cell.Step{
+		{newStep(1, 1)}, {newStep(4000, 1)},
+		append(emptySteps(999), newStep(1, 1)),
+		slices.Repeat([]cell.Step{newStep(1, 1)}, 1000),
+	} {
+		f := newFixture(t, 0)
+		before := heapBytes()
+		for n := range 400 {
+			f.apply(JobSubmitted{Job: f.repeatedJob(simJobID(n), 4000, steps...)})
+		}
+		used := heapBytes() - before
+		open := 0
+		for _, j := range f.m.jobs {
+			open += len(j.occurrences)
+		}
+		is.True(open > 0)
+		is.True(used < f.m.occurrenceBytes+400*2000)
+		runtime.KeepAlive(f)
+	}
+}
+
+// TestJobWithoutTasksCompletes guards against a job that never ends since none of its steps has a task, and against one that
+// opens all of its occurrences.
+func TestJobWithoutTasksCompletes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1000)
+	f.apply(JobSubmitted{Job: newJob("once", emptySteps(2)...)})
+	f.apply(JobSubmitted{Job: f.repeatedJob("often", 4000, emptySteps(1000)...)})
+	is.Equal(len(f.m.jobs["often"].occurrences), 0)
+	f.scheduleAndRecord()
+	is.Equal(len(f.m.jobs), 0)
+	is.Equal(actionsOf[Publish](f), []Publish{{Job: "often", State: cell.StateCompleted}, {Job: "once", State: cell.StateCompleted}})
+}
--- a/internal/cell/owner/release.go
+++ b/internal/cell/owner/release.go
@@ -16,8 +16,12 @@
 const (
 	// defaultOccurrenceMemory applies if Options.OccurrenceMemory is 0.
 	defaultOccurrenceMemory = 16 << 20
-	// occurrenceBaseBytes and taskBytes are what an occurrence takes in memory, and each of its tasks in addition.
-	occurrenceBaseBytes = 1 << 10
+	// occurrenceBaseBytes is what an occurrence takes in memory, the others what each of its
+	// steps, each step with tasks and each task take in addition. All steps exist at the same
+	// time if none depends on another.
+	occurrenceBaseBytes = 512
+	stepStateBytes      = 5
+	stepBytes           = 640
 	taskBytes           = 64
 	// sharedFraction of the budget is for all occurrences. The rest is for jobs of which none
 	// is open, so that jobs whose occurrences last cannot keep out the others.
@@ -35,7 +39,10 @@
 func estimateOccurrenceBytes(def *cell.Job) int64 {
 	n := int64(occurrenceBaseBytes)
 	for i := range def.Steps {
-		n += int64(def.Steps[i].Count) * taskBytes
+		n += stepStateBytes
+		if count := def.Steps[i].Count; count > 0 {
+			n += stepBytes + int64(count)*taskBytes
+		}
 	}
 	return n
 }
