Make scheduling cycles linear in the steps of a job, and let them yield

The cell started 192 tasks, then nothing for 8 to 45 s, again and again, and was idle meanwhile. Jobs with hundreds of tasks whose turn had come, and ordinary ones, had nothing running for over 3 s.

Cause: each cycle computed the objective and the remaining time of a job, two passes over all of its steps and dependencies, for each of its waiting steps: 36,000 times 54,960. The control loop did nothing else meanwhile, and began the next cycle after three times as long.

Change: - The two estimates are kept by job and by occurrence. They are computed at most every 0.1 ms for each step and 4 us for each dependency, up to every second; jobs of up to 40 steps still have new ones in each cycle. - Steps with equal work share a predicted run time. - Place returns after 10 ms and goes on in its next call. Events are applied between the calls; steps that do not wait any more are passed over. The ranked steps are a heap, so that sorting them yields too. - A kind of task that found no worker is not tried again in the same cycle, so that its cost is not the product of the waiting steps and the workers.

Tests of internal/cell/owner and node pass.

--- a/internal/cell/node/controlloop.go
+++ b/internal/cell/node/controlloop.go
@@ -22,10 +22,10 @@
 	tickInterval = 25 * time.Millisecond
 	// schedulingInterval is the minimum time between two scheduling cycles.
 	schedulingInterval = 4 * time.Millisecond
-	// minSchedulingPauseFactor is the multiple of the length of a scheduling cycle
-	// for which the loop does other work before the next one. The length grows with
-	// the number of waiting steps: without a pause, a backlog takes the processor
-	// from the renewals of the leases, and more work is lost than is placed.
+	// minSchedulingPauseFactor is the multiple of the length of a scheduling cycle, or of the
+	// part of it after which it has yielded, for which the loop does other work before it goes
+	// on: without a pause, a backlog takes the processor from the renewals of the leases, and
+	// more work is lost than is placed.
 	minSchedulingPauseFactor = 3
 	// maxQueuedEvents bounds the events and the advice results that wait for the
 	// loop.
@@ -163,6 +163,7 @@
 			RemoteFactor:     n.settings.RemoteFactor,
 			QuotaOvershoot:   n.settings.QuotaOvershoot,
 			LearnRunTimes:    n.settings.LearnRunTimes,
+			CycleClock:       bootTime,
 			OccurrenceMemory: n.settings.MemoryMB << 20 / occurrenceMemoryDivisor,
 			OwnedAt:          n.election.OwnedAt(),
 			Seed:             uint64(bootTime()),
--- a/internal/cell/owner/contention.go
+++ b/internal/cell/owner/contention.go
@@ -40,7 +40,7 @@
 
 // countJobs marks the jobs that were added since the last cycle and are beyond the rate that
 // their customers may submit. They are counted in the order of their acceptance: a new owner
-// adds those that it has taken over in any order. runCycle calls it before it ranks steps.
+// adds those that it has taken over in any order. beginCycle calls it.
 func (m *Machine) countJobs() {
 	c := &m.contention
 	if m.ledger.HasCustomers() {
@@ -58,44 +58,6 @@
 	c.uncountedJobs = c.uncountedJobs[:0]
 }
 
-// placeInOrder places the sorted steps of a cycle. Of steps that are equally urgent, those for
-// workers that are full have their turns by the weighted share of their customer, in place of
-// their deadlines. What a step of the cycle has placed counts at once. runCycle calls it.
-func (m *Machine) placeInOrder(steps []rankedStep) {
-	if !m.ledger.HasCustomers() {
-		for _, r := range steps {
-			m.placeRanked(r)
-		}
-		return
-	}
-	m.measureContention(steps)
-	for len(steps) > 0 {
-		n := 1
-		for n < len(steps) && steps[n].compareUrgency(steps[0]) == 0 {
-			n++
-		}
-		m.placeEquallyUrgent(steps[:n])
-		steps = steps[n:]
-	}
-}
-
-// placeEquallyUrgent places steps of one urgency. Those whose workers are not full come first:
-// the others would only take advice proxies from them. So do long-running ones that wait for a
-// restart: their share was granted before, and a task may be without a run for some seconds only.
-func (m *Machine) placeEquallyUrgent(steps []rankedStep) {
-	turns := shares.NewTurns[rankedStep](m.contention.capacity)
-	for _, r := range steps {
-		if s := m.contention.services[r.queue.Service]; s != nil && s.isFull && !r.step.awaitsRestart() {
-			turns.Add(r.step.job.account, r)
-			continue
-		}
-		m.placeRanked(r)
-	}
-	for r, ok := turns.Next(); ok; r, ok = turns.Next() {
-		m.placeRanked(r)
-	}
-}
-
 // awaitsRestart reports whether a task of a long-running step has lost its run.
 func (s *step) awaitsRestart() bool {
 	return s.def.LongRunning && slices.ContainsFunc(s.tasks, func(t task) bool { return t.run == nil && t.idleSince > 0 })
--- a/internal/cell/owner/expectations.go
+++ b/internal/cell/owner/expectations.go
@@ -17,6 +17,8 @@
 	learnedLogInterval = 5 * time.Second
 	// maxLoggedQueues bounds such a line.
 	maxLoggedQueues = 6
+	// maxPredictions bounds the predictions that are kept.
+	maxPredictions = 4096
 )
 
 // learning is what the owner has learned from finished runs. Nothing of it is recorded: a new
@@ -29,6 +31,10 @@
 	// count those with another than the usual speed.
 	speedsAt                 time.Duration
 	slowWorkers, fastWorkers int
+	// predictions are mean run times computed since predictedAt: the steps of a job and the jobs
+	// of a queue often have the same work.
+	predictions map[expect.Work]time.Duration
+	predictedAt time.Duration
 	// rooms is the capacity of all listed workers, by service, as of speedsAt.
 	rooms map[string]structs.Resources
 }
@@ -37,7 +43,21 @@
 	if !opts.LearnRunTimes {
 		return learning{}
 	}
-	return learning{model: expect.NewModel(opts.RemoteFactor), rooms: map[string]structs.Resources{}}
+	return learning{model: expect.NewModel(opts.RemoteFactor), rooms: map[string]structs.Resources{}, predictions: map[expect.Work]time.Duration{}}
+}
+
+// meanRunTime predicts the mean run time of a task, from what was known up to expectationTTL ago.
+func (l *learning) meanRunTime(now time.Duration, work expect.Work) time.Duration {
+	if now-l.predictedAt >= expectationTTL || len(l.predictions) >= maxPredictions {
+		clear(l.predictions)
+		l.predictedAt = now
+	}
+	mean, ok := l.predictions[work]
+	if !ok {
+		mean = l.model.RunTime(now, work).Mean
+		l.predictions[work] = mean
+	}
+	return mean
 }
 
 // workOf describes a step of a job to the model.
--- a/internal/cell/owner/gangroom.go
+++ b/internal/cell/owner/gangroom.go
@@ -65,7 +65,7 @@
 	return capacity > 0 && float64(used) > holdMinUsage*float64(capacity)
 }
 
-// resetHoldState resets the state at the start of a scheduling cycle. runCycle calls it.
+// resetHoldState resets the state at the start of a scheduling cycle. beginPlacing calls it.
 func (m *Machine) resetHoldState() {
 	clear(m.hold.services)
 	m.hold.held, m.hold.gangs, m.hold.attempts = 0, 0, 0
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -44,6 +44,10 @@
 	// that have any.
 	tasksPerOccurrence, stepsWithTasks int
 	submittedAt                        time.Duration
+	// objectiveEstimate is the job's objective.
+	objectiveEstimate pathEstimate
+	// estimateInterval is how often estimates that go through the whole job are computed.
+	estimateInterval time.Duration
 	// expectations has the predicted run time of each step; see learnedRunTime.
 	expectations []expectation
 	finishedAt   time.Time
@@ -151,6 +155,7 @@
 		}
 	}
 	j.occurrenceBytes = estimateOccurrenceBytes(e.Job)
+	j.estimateInterval = estimateIntervalOf(e.Job)
 	if e.Progress != nil {
 		j.state, j.recordedState = e.Progress.State, e.Progress.State
 	}
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -27,6 +27,8 @@
 	// QuotaOvershoot is the fraction by which what a customer has running may exceed its
 	// quota.
 	QuotaOvershoot float64
+	// CycleClock is the clock by which a long scheduling cycle yields; with nil, none does.
+	CycleClock func() time.Duration
 	// LearnRunTimes makes the owner learn run times and the speeds of workers from finished
 	// runs; otherwise it expects the mean of a caller's estimate and of the queue.
 	LearnRunTimes bool
@@ -131,10 +133,14 @@
 	lastBatch            int
 	pendingBatches       map[int]*batch
 	isCycleNeeded        bool
-	// adviceCapacity is that of the current scheduling cycle, cycle is its
-	// number.
+	// inProgress is the scheduling cycle that has yielded or is running, nil if there is none;
+	// cycle is the number of the last one that has begun to place tasks.
+	inProgress *schedulingCycle
+	cycle      int
+	// notFitting has the kinds of tasks that found no worker in the current scheduling cycle.
+	notFitting map[fitKey]bool
+	// adviceCapacity is that of the last call of Place.
 	adviceCapacity AdviceCapacity
-	cycle          int
 	// isQuarantineSuspended is true while quarantines do not apply.
 	isQuarantineSuspended bool
 	// failureRates are those of the work; mustWeighFailures is true if failures on workers
@@ -176,6 +182,7 @@
 		recurringJobs:    map[cell.JobID]*job{},
 		occurrenceMemory: cmp.Or(opts.OccurrenceMemory, defaultOccurrenceMemory),
 		statsByQueue:     map[string]*queueStats{},
+		notFitting:       map[fitKey]bool{},
 		ledger:           shares.NewLedger(opts.QuotaOvershoot),
 		learning:         newLearning(opts),
 		dirtyJobs:        map[cell.JobID]*job{},
@@ -243,15 +250,18 @@
 	m.emit(LogDecision{Subject: subject, Message: message, Details: details})
 }
 
-// Place runs a scheduling cycle if anything has changed since the last one.
-// The cycle sends no more advice queries than capacity permits. Package node
+// Place runs a scheduling cycle if anything has changed since the last one, or goes on with one
+// that has yielded (Options.CycleClock). The cycle sends no more advice queries than capacity permits. Package node
 // calls it every few milliseconds, after it has applied the waiting events.
 func (m *Machine) Place(now Time, capacity AdviceCapacity) []Action {
 	m.now = now
-	if m.isCycleNeeded {
+	m.adviceCapacity = capacity
+	if m.inProgress == nil && m.isCycleNeeded {
 		m.isCycleNeeded = false
-		m.adviceCapacity = capacity
-		m.runCycle()
+		m.beginCycle()
+	}
+	if m.inProgress != nil {
+		m.continueCycle()
 	}
 	return m.takeActions()
 }
--- a/internal/cell/owner/objective.go
+++ b/internal/cell/owner/objective.go
@@ -32,6 +32,50 @@
 	isSet bool
 }
 
+// pathEstimate is an estimate that takes a pass over all steps and dependencies of a job. Every cycle
+// uses it for each waiting step of the job.
+type pathEstimate struct {
+	value, at time.Duration
+	// queue is the configuration of the job's queue that was used, nil before the first computation.
+	queue *cell.Queue
+}
+
+const (
+	// estimateIntervalPerStep and estimateIntervalPerDependency are more than a hundred times the
+	// processor time that an estimate takes, up to maxEstimateInterval. Estimates of jobs with up to 40
+	// steps are computed in each cycle.
+	estimateIntervalPerStep       = 100 * time.Microsecond
+	estimateIntervalPerDependency = 4 * time.Microsecond
+	maxEstimateInterval           = time.Second
+)
+
+// estimateIntervalOf returns how often estimates that go through the whole job are computed.
+func estimateIntervalOf(def *cell.Job) time.Duration {
+	interval := time.Duration(0)
+	for i := range def.Steps {
+		interval += estimateIntervalPerStep + time.Duration(len(def.Steps[i].DependsOn))*estimateIntervalPerDependency
+	}
+	return min(interval, maxEstimateInterval)
+}
+
+// get returns the estimate, which it computes again if it is older than the interval.
+func (e *pathEstimate) get(now, interval time.Duration, q *cell.Queue, compute func() time.Duration) time.Duration {
+	if e.queue != q || now-e.at >= interval {
+		*e = pathEstimate{value: compute(), at: now, queue: q}
+	}
+	return e.value
+}
+
+// currentObjective returns the objective of a job, up to estimateInterval old.
+func (m *Machine) currentObjective(j *job, q *cell.Queue) time.Duration {
+	return j.objectiveEstimate.get(m.now.Mono, j.estimateInterval, q, func() time.Duration { return m.objective(j, q) })
+}
+
+// currentRemainingTime returns the remaining run time of an occurrence, up to estimateInterval old.
+func (m *Machine) currentRemainingTime(o *occurrence) time.Duration {
+	return o.remainingEstimate.get(m.now.Mono, o.job.estimateInterval, m.currentQueue(o.job), func() time.Duration { return m.remainingRunTime(o) })
+}
+
 // expectationOf returns what is expected of a step of a job. It is computed again after
 // expectationTTL and after a failed run of the job. learnedRunTime, owedRunTime and
 // remainingStepTime call it.
@@ -42,7 +86,7 @@
 	e := &j.expectations[step]
 	if !e.isSet || m.now.Mono-e.at >= expectationTTL {
 		*e = expectation{
-			mean:     m.learning.model.RunTime(m.now.Mono, workOf(j, step)).Mean,
+			mean:     m.learning.meanRunTime(m.now.Mono, workOf(j, step)),
 			failures: failuresOf(j, step),
 			width:    m.waveWidth(j, &j.def.Steps[step]),
 			at:       m.now.Mono, isSet: true,
--- a/internal/cell/owner/occurrences.go
+++ b/internal/cell/owner/occurrences.go
@@ -23,6 +23,8 @@
 	openSteps int
 	// blockedSteps are the steps that wait for others.
 	blockedSteps []blockedStep
+	// remainingEstimate is the time that the open steps need.
+	remainingEstimate pathEstimate
 	// hasStarted is true once a run of it was planned.
 	hasStarted bool
 }
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -1,43 +1,16 @@
 package owner
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/structs"
 )
 
-// runCycle runs a scheduling cycle: it places the tasks of all waiting steps
-// in the order of their rank. Place calls it if anything has changed since
-// the last cycle.
-func (m *Machine) runCycle() {
-	m.countJobs()
-	m.refreshSpeeds()
-	steps := make([]rankedStep, 0, len(m.waitingSteps))
-	for _, s := range m.waitingSteps {
-		steps = append(steps, m.rankStep(s))
-	}
-	slices.SortFunc(steps, rankedStep.compare)
-	m.cycle++
-	m.updateQuarantineSuspension()
-	m.findUsableWorkers()
-	m.resetHoldState()
-	m.placeInOrder(steps)
-}
-
-// placeRanked places a step and reserves what its queries are about. placeInOrder calls it for
-// each step in turn.
-func (m *Machine) placeRanked(r rankedStep) {
-	m.placeStep(r.step, r.queue)
-	m.addReservations(r.step)
-}
-
 // findUsableWorkers lists the workers that may get new tasks in this scheduling cycle. A
 // new owner of a large cell has waited for few answers when thousands of steps wait;
 // if each of them looked at all workers, a cycle would take longer than a lease.
-// runCycle calls it; handling of an event may make a worker unusable before the next one.
+// placeRankedSteps calls it; handling of an event may make a worker unusable before the next call.
 func (m *Machine) findUsableWorkers() {
 	m.usableWorkers = m.usableWorkers[:0]
 	for _, w := range m.sortedWorkers {
@@ -47,72 +20,8 @@
 	}
 }
 
-// rankedStep is a waiting step with its sort keys.
-type rankedStep struct {
-	step  *step
-	queue *cell.Queue
-	// lateness is 0 while the job can finish within its objective, 1 while it
-	// can finish within maxLateFactor times the objective, else 2.
-	lateness int
-	deadline time.Duration
-}
-
-// maxLateFactor times the objective is the time after which a late job no longer
-// counts.
-const maxLateFactor = 3
-
-// rankStep computes the sort keys of a waiting step. runCycle calls it for
-// each waiting step. The objective of an occurrence counts from its due time. Long-running steps
-// are never late.
-func (m *Machine) rankStep(s *step) rankedStep {
-	q := m.currentQueue(s.job)
-	objective := m.objective(s.job, q)
-	r := rankedStep{step: s, queue: q, deadline: s.occurrence.dueAt + objective}
-	remaining := m.remainingRunTime(s.occurrence)
-	finishTime := m.now.Mono - s.occurrence.dueAt + time.Duration(requiredWorkFraction*float64(remaining))
-	switch {
-	case s.def.LongRunning:
-	case finishTime > maxLateFactor*objective:
-		r.lateness = 2
-	case finishTime > objective:
-		r.lateness = 1
-	}
-	s.speedPreference = m.preferredSpeed(r, remaining)
-	return r
-}
-
-// requiredWorkFraction is the fraction of the expected remaining run time for
-// which a job must have time left to count as one that can finish in time. Half
-// of all tasks take less than 0.85 of the mean.
-const requiredWorkFraction = 0.8
-
-// compare orders steps by urgency and then by deadline. runCycle sorts the waiting steps with it.
-func (r rankedStep) compare(o rankedStep) int {
-	return cmp.Or(
-		r.compareUrgency(o),
-		cmp.Compare(r.deadline, o.deadline),
-		cmp.Compare(r.step.id.Job, o.step.id.Job),
-		cmp.Compare(r.step.id.Occurrence, o.step.id.Occurrence),
-		cmp.Compare(r.step.id.Step, o.step.id.Step),
-	)
-}
-
-// compareUrgency orders steps by lateness, then by priority. Steps of excess jobs follow all
-// others: also the late ones, which earn a part of their worth, and those without any, which
-// have to run too. placeInOrder shares capacity between the customers of equally urgent steps.
-func (r rankedStep) compareUrgency(o rankedStep) int {
-	if r.step.job.isExcess != o.step.job.isExcess {
-		if r.step.job.isExcess {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.queue.Priority, o.queue.Priority))
-}
-
 // objective returns the duration, counted from the job's submission, within
-// which the job should finish. It is an estimate, not a point in time. rankStep calls it in each cycle, since the queue's mean run
-// time changes.
+// which the job should finish. It is an estimate, not a point in time.
 func (m *Machine) objective(j *job, q *cell.Queue) time.Duration {
 	advice := time.Duration(0)
 	if q.Advice != nil {
@@ -156,7 +65,6 @@
 }
 
 // remainingRunTime estimates the critical path of the steps of an occurrence that are not done.
-// rankStep calls it to see whether the occurrence will be late.
 func (m *Machine) remainingRunTime(o *occurrence) time.Duration {
 	return criticalPath(o.job.def.Steps, func(i int) time.Duration {
 		if o.isStepDone[i] {
@@ -225,7 +133,7 @@
 }
 
 // placeStep plans runs for the tasks of a step that have none, and queries
-// advice for those that find no worker. runCycle calls it for each waiting
+// advice for those that find no worker. continueCycle calls it for each waiting
 // step.
 func (m *Machine) placeStep(s *step, q *cell.Queue) {
 	s.acceptsAllWorkers = m.mustAcceptAllWorkers(s)
@@ -370,10 +278,16 @@
 // chooseWorker returns the best of the permitted workers for a task, or nil.
 // placeStep and placeGang call it for each task.
 func (m *Machine) chooseWorker(s *step, q *cell.Queue, permitted []*worker) *worker {
+	if m.isKnownNotToFit(s, q) {
+		return nil
+	}
 	best := bestWorker{}
 	for _, w := range permitted {
 		m.consider(&best, w, s, q)
 	}
+	if best.worker == nil {
+		m.rememberNotFitting(s, q)
+	}
 	return best.worker
 }
 
--- a/internal/cell/owner/speeds.go
+++ b/internal/cell/owner/speeds.go
@@ -42,7 +42,7 @@
 
 // refreshSpeeds applies the learned speeds to the workers and adds up their capacity. A worker
 // whose difference from the usual speed does not exceed its uncertainty counts as one of usual
-// speed. runCycle calls it.
+// speed. beginCycle calls it.
 func (m *Machine) refreshSpeeds() {
 	l := &m.learning
 	if l.model == nil || l.speedsAt > 0 && m.now.Mono-l.speedsAt < speedRefreshInterval {
