Weigh accepted jobs against the memory of a VM, and keep them in a third of it

Cause: every VM keeps the record of each unfinished job, and the owner the decoded job as well: 214 KB and 0.53 MB for each of these, of which 56,000 dependencies take 8 bytes each. Nothing weighed accepted jobs against memory.

Change: - A dependency takes 2 bytes; the record on the wire and in the store is the same. - The replica compresses records from 8 KB on: 195 KB to 3.3 KB for such a chain. - Unfinished jobs may take 0.4 of the memory limit, those of more than 16 KB seven eighths of that. A submission beyond it gets 503 with Retry-After: 2 before it is recorded. Nothing that was accepted is dropped. A VM that does not know all jobs weighs nothing.

Open: a store with more unfinished jobs than an owner has memory for, from previous builds or through VMs that are no followers.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -174,9 +174,10 @@
 	Need  structs.Resources `json:"r"`
 	// Estimate is the caller's estimate of the run time of a task.
 	Estimate time.Duration `json:"e,omitempty"`
-	// DependsOn has the indexes of the steps whose tasks must all be done first.
-	DependsOn     []int `json:"d,omitempty"`
-	Checkpointing bool  `json:"c,omitempty"`
+	// DependsOn has the indexes of the steps whose tasks must all be done first. A job may have
+	// half a million of them; MaxStepsPerJob fits into their type.
+	DependsOn     []uint16 `json:"d,omitempty"`
+	Checkpointing bool     `json:"c,omitempty"`
 	// Gang means that the tasks make progress only while all of them run at the same
 	// time, under the same run number.
 	Gang      bool `json:"g,omitempty"`
--- a/internal/cell/node/customermetrics.go
+++ b/internal/cell/node/customermetrics.go
@@ -18,6 +18,8 @@
 	outcomeStoreRefused = "refused_store"
 	// outcomeConfigRefused is that of submissions whose keys this VM could not judge.
 	outcomeConfigRefused = "refused_config"
+	// outcomeMemoryRefused is that of submissions for which there is no memory.
+	outcomeMemoryRefused = "refused_memory"
 	outcomeUnknown       = "unknown"
 	// noCustomer is the label of calls without a customer, and of customers that are not in the
 	// configuration in force.
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -82,6 +82,13 @@
 	if err != nil {
 		return eris.Wrap(err, "encode job")
 	}
+	if !n.hasMemoryFor(value) {
+		n.countRequest("submit", "not_run")
+		n.customerMetrics.count(job.Customer, outcomeMemoryRefused)
+		err := &cell.NotExecutedError{RetryAfter: jobMemoryRetryAfter, Cause: errJobMemoryFull}
+		n.logRefusal(job, err)
+		return err
+	}
 	kv := cell.KeyValue{Key: cell.JobKey(job.ID), Value: value}
 	if err := n.appendJobRecord(ctx, kv); err != nil {
 		n.countRequest("submit", requestOutcome(err))
--- a/internal/cell/node/replica.go
+++ b/internal/cell/node/replica.go
@@ -16,6 +16,8 @@
 	jobs map[cell.JobID]*jobEntry
 	// unfinished holds the jobs that have not ended, for the counts.
 	unfinished map[cell.JobID]*jobEntry
+	// jobBytes is what the unfinished jobs take in the memory of an owner.
+	jobBytes int64
 	// hasForgotten is true if forgetBefore has removed a job since the last clear.
 	hasForgotten bool
 	// isKept is true while this VM holds the term: forgetBefore then removes nothing.
@@ -37,7 +39,9 @@
 	state               cell.State
 	// job and progress are encoded records. progress includes the leading state
 	// byte.
-	job      []byte
+	job packedRecord
+	// bytes is what the job takes in the memory of an owner.
+	bytes    int64
 	progress []byte
 	// hasOpenRuns is true if the recorded progress lists open runs.
 	hasOpenRuns bool
@@ -82,7 +86,12 @@
 	switch rec.Kind {
 	case cell.RecordJob:
 		original := e.originalOf(rec.Value)
-		return recordChange{record: rec, isNew: e.setSubmission(rec.Value), original: original}
+		isNew := e.setSubmission(rec.Value)
+		if isNew && r.unfinished[rec.Job] == e {
+			e.bytes = estimateJobBytes(rec.Value, e.job)
+			r.jobBytes += e.bytes
+		}
+		return recordChange{record: rec, isNew: isNew, original: original}
 	case cell.RecordCancel:
 		isNew := !e.isCancelled
 		e.isCancelled = true
@@ -99,7 +108,7 @@
 func (r *replica) deleteRecord(rec cell.Record) {
 	if rec.Kind == cell.RecordProgress {
 		delete(r.jobs, rec.Job)
-		delete(r.unfinished, rec.Job)
+		r.markFinished(rec.Job)
 		return
 	}
 	if e, ok := r.jobs[rec.Job]; ok && rec.Kind == cell.RecordJob {
@@ -144,7 +153,7 @@
 	for id, e := range r.unfinished {
 		if e.wasSubmitted && !e.hasStoredSubmission && !e.state.IsFinal() && e.submissionDeletedAt < progressReadAt {
 			delete(r.jobs, id)
-			delete(r.unfinished, id)
+			r.markFinished(id)
 		}
 	}
 }
@@ -171,7 +180,7 @@
 	e.hasStoredSubmission = true
 	if e.wasSubmitted {
 		if e.job == nil && (!e.state.IsFinal() || e.hasOpenRuns) {
-			e.job = bytes.Clone(value)
+			e.job = packRecord(value)
 		}
 		return false
 	}
@@ -182,7 +191,7 @@
 		return false
 	}
 	e.queue = cell.DecodeQueueName(value)
-	e.job = bytes.Clone(value)
+	e.job = packRecord(value)
 	return true
 }
 
@@ -205,7 +214,7 @@
 	if e.finishedAtSeconds == 0 {
 		e.finishedAtSeconds = int64(bootTime().Seconds())
 	}
-	delete(r.unfinished, id)
+	r.markFinished(id)
 	if !e.hasOpenRuns {
 		e.job, e.progress = nil, nil
 	}
@@ -237,7 +246,7 @@
 	e.state = s
 	e.hasProgress = true
 	if s.IsFinal() {
-		delete(r.unfinished, id)
+		r.markFinished(id)
 		if e.finishedAtSeconds == 0 {
 			e.finishedAtSeconds = int64(bootTime().Seconds())
 		}
@@ -313,7 +322,11 @@
 // decode decodes the records of an unfinished job.
 func (e *jobEntry) decode(id cell.JobID) (u unfinishedJob, err error) {
 	u.isCancelled = e.isCancelled
-	if u.job, err = cell.DecodeJob(id, e.job); err != nil {
+	value, err := e.job.unpack()
+	if err != nil {
+		return u, err
+	}
+	if u.job, err = cell.DecodeJob(id, value); err != nil {
 		return u, err
 	}
 	if e.progress != nil {
@@ -383,7 +396,7 @@
 		if e.submittedAt < before {
 			r.hasForgotten = true
 			delete(r.jobs, id)
-			delete(r.unfinished, id)
+			r.markFinished(id)
 		}
 	}
 }
@@ -408,7 +421,7 @@
 func (r *replica) clear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hasForgotten = false
+	r.hasForgotten, r.jobBytes = false, 0
 	r.jobs, r.unfinished = map[cell.JobID]*jobEntry{}, map[cell.JobID]*jobEntry{}
 }
 
--- a/internal/cell/node/resubmission.go
+++ b/internal/cell/node/resubmission.go
@@ -43,10 +43,14 @@
 // originalOf returns the submission that this VM keeps if the given one is of another customer,
 // else nil. apply calls it with r.mu held.
 func (e *jobEntry) originalOf(value []byte) []byte {
-	if e.job == nil || bytes.Equal(e.job, value) || cell.DecodeCustomer(e.job) == cell.DecodeCustomer(value) {
+	if e.job == nil {
 		return nil
 	}
-	return e.job
+	original, err := e.job.unpack()
+	if err != nil || bytes.Equal(original, value) || cell.DecodeCustomer(original) == cell.DecodeCustomer(value) {
+		return nil
+	}
+	return original
 }
 
 // restoreSubmission appends the submission that counts once more, as the newest record of its key.
--- a/internal/cell/node/soak_test.go
+++ b/internal/cell/node/soak_test.go
@@ -493,7 +493,7 @@
 func newSoakJob(id cell.JobID) *cell.Job {
 	return &cell.Job{
 		ID: id, Queue: cell.Queue{Name: soakQueueName, Service: "s", MaxAttempts: 9, CriticalPathFactor: 2, Target: time.Second},
-		Steps: []cell.Step{{Count: 2, Need: structs.Resources{MilliCPU: 500}}, {Count: 1, DependsOn: []int{0}, Need: structs.Resources{MilliCPU: 900}}},
+		Steps: []cell.Step{{Count: 2, Need: structs.Resources{MilliCPU: 500}}, {Count: 1, DependsOn: []uint16{0}, Need: structs.Resources{MilliCPU: 900}}},
 	}
 }
 
--- a/internal/cell/owner/cycle_test.go
+++ b/internal/cell/owner/cycle_test.go
@@ -15,9 +15,9 @@
 // wideWorkflow returns a job of a first stage and a second one, each step of which depends on the whole first stage.
 func wideWorkflow(id cell.JobID, first, second int) *cell.Job {
 	job := newJob(id, slices.Repeat([]cell.Step{newStep(1, 1000)}, first+second)...)
-	dependencies := make([]int, first)
+	dependencies := make([]uint16, first)
 	for i := range dependencies {
-		dependencies[i] = i
+		dependencies[i] = uint16(i)
 	}
 	for i := first; i < first+second; i++ {
 		job.Steps[i].DependsOn = dependencies
--- a/internal/cell/owner/liveness_test.go
+++ b/internal/cell/owner/liveness_test.go
@@ -260,7 +260,7 @@
 			step.MaxPerWorker = 1
 		}
 		if k > 0 {
-			step.DependsOn = []int{k - 1}
+			step.DependsOn = []uint16{uint16(k - 1)}
 		}
 		def.Steps = append(def.Steps, step)
 	}
--- a/internal/cell/owner/malformed_test.go
+++ b/internal/cell/owner/malformed_test.go
@@ -52,7 +52,7 @@
 // TestMalformedRecordsDoNotEndTheOwner guards a takeover: whatever the store holds about
 // a job is refused by its decoder or can be loaded and scheduled.
 func TestMalformedRecordsDoNotEndTheOwner(t *testing.T) {
-	job := newJob("j", newStep(2, 300), cell.Step{Count: 1, DependsOn: []int{0}, Need: structs.Resources{MilliCPU: 100}, Gang: true})
+	job := newJob("j", newStep(2, 300), cell.Step{Count: 1, DependsOn: []uint16{0}, Need: structs.Resources{MilliCPU: 100}, Gang: true})
 	job.Repeat, job.Interval, job.FirstDueAt = 2, time.Second, time.Unix(1000, 0)
 	validJob, err := cell.EncodeJob(job)
 	if err != nil {
--- a/internal/cell/owner/objective_test.go
+++ b/internal/cell/owner/objective_test.go
@@ -85,7 +85,7 @@
 	chain := make([]cell.Step, cell.MaxStepsPerJob)
 	for i := range chain {
 		chain[i] = newStep(1, 1000)
-		chain[i].Estimate, chain[i].DependsOn = wide.Estimate, []int{i - 1}
+		chain[i].Estimate, chain[i].DependsOn = wide.Estimate, []uint16{uint16(i - 1)}
 	}
 	for _, steps := range [][]cell.Step{{wide}, chain} {
 		j := &job{def: newJob("j", steps...)}
--- a/internal/cell/owner/occurrences_test.go
+++ b/internal/cell/owner/occurrences_test.go
@@ -101,7 +101,7 @@
 	const repeat = 100
 	f := newFixture(t, 4000)
 	job := f.repeatedJob("j", repeat, newStep(1, 1000), newStep(2, 500))
-	job.Steps[1].DependsOn = []int{0}
+	job.Steps[1].DependsOn = []uint16{0}
 	f.apply(JobSubmitted{Job: job})
 	started := map[string]int{}
 	for round := range 20 {
@@ -213,7 +213,7 @@
 	const jobs, limit = 100, 16 << 20
 	f.m.occurrenceMemory = limit
 	steps := append(emptySteps(cell.MaxStepsPerJob-1), newStep(1, 1000))
-	steps[len(steps)-1].DependsOn = []int{0, 7, 998}
+	steps[len(steps)-1].DependsOn = []uint16{0, 7, 998}
 	before := heapBytes()
 	for n := range jobs {
 		f.apply(JobSubmitted{Job: f.repeatedJob(simJobID(n), 4000, steps...)})
--- a/internal/cell/owner/schedule.go
+++ b/internal/cell/owner/schedule.go
@@ -39,7 +39,7 @@
 	longest := time.Duration(0)
 	for i := range steps {
 		for _, d := range steps[i].DependsOn {
-			if d >= 0 && d < i {
+			if int(d) < i {
 				finishTimes[i] = max(finishTimes[i], finishTimes[d])
 			}
 		}
--- a/internal/cell/owner/schedule_test.go
+++ b/internal/cell/owner/schedule_test.go
@@ -13,7 +13,7 @@
 // steps: only the critical path counts.
 func TestCriticalPathFollowsDependencies(t *testing.T) {
 	is := is.New(t)
-	steps := []cell.Step{{}, {}, {DependsOn: []int{0}}, {DependsOn: []int{1, 2}}}
+	steps := []cell.Step{{}, {}, {DependsOn: []uint16{0}}, {DependsOn: []uint16{1, 2}}}
 	costs := []time.Duration{1, 10, 4, 2}
 	is.Equal(criticalPath(steps, func(i int) time.Duration { return costs[i] }), time.Duration(12))
 	is.Equal(criticalPath(nil, nil), time.Duration(0))
--- a/internal/cell/owner/sim_test.go
+++ b/internal/cell/owner/sim_test.go
@@ -632,7 +632,7 @@
 			step.Label = simKinds[0]
 		}
 		if k > 0 {
-			step.DependsOn = []int{0}
+			step.DependsOn = []uint16{0}
 		}
 		def.Steps = append(def.Steps, step)
 	}
--- a/internal/cell/owner/simworker_test.go
+++ b/internal/cell/owner/simworker_test.go
@@ -81,7 +81,7 @@
 	}
 	for _, d := range step.DependsOn {
 		for k := range j.def.Steps[d].Count {
-			id := cell.TaskID{StepID: cell.StepID{Job: j.def.ID, Occurrence: req.Task.Occurrence, Step: d}, Index: k}
+			id := cell.TaskID{StepID: cell.StepID{Job: j.def.ID, Occurrence: req.Task.Occurrence, Step: int(d)}, Index: k}
 			if !j.doneTasks[id.String()] {
 				s.t.Fatalf("%v task %s starts before %s is done", s.now, task, id)
 			}
--- a/internal/cell/validate.go
+++ b/internal/cell/validate.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, d := range s.DependsOn {
-		if d < 0 || d >= index {
+		if int(d) >= index {
 			return eris.Errorf("depends on step %d, which is not an earlier one", d)
 		}
 	}
