--- a/internal/cell/owner/cycle.go
+++ b/internal/cell/owner/cycle.go
@@ -164,8 +164,8 @@
 // Push implements heap.Interface; nothing is pushed.
 func (o *placementOrder) Push(x any) { o.steps = append(o.steps, x.(rankedStep)) }
 
-// Pop implements heap.Interface. It returns nil, since next has read the first step; to return it would
-// allocate memory.
+// Pop implements heap.Interface. It returns nil, since next has read the first step: an interface
+// value of it would be allocated.
 func (o *placementOrder) Pop() any {
 	o.steps = o.steps[:len(o.steps)-1]
 	return nil
--- a/internal/cell/owner/jobs.go
+++ b/internal/cell/owner/jobs.go
@@ -139,26 +139,7 @@
 	if _, known := m.jobs[e.Job.ID]; known {
 		return
 	}
-	j := &job{
-		def:           e.Job,
-		account:       m.ledger.Account(e.Job.Customer),
-		state:         cell.StateQueued,
-		recordedState: cell.StateQueued,
-		steps:         map[cell.StepID]*step{},
-		occurrences:   map[int]*occurrence{},
-		submittedAt:   m.now.Mono - max(0, min(m.now.Wall.Sub(e.Job.AcceptedAt), time.Minute)),
-	}
-	for i := range e.Job.Steps {
-		if n := e.Job.Steps[i].Count; n > 0 {
-			j.tasksPerOccurrence += n
-			j.stepsWithTasks++
-		}
-	}
-	j.occurrenceBytes = estimateOccurrenceBytes(e.Job)
-	j.estimateInterval = estimateIntervalOf(e.Job)
-	if e.Progress != nil {
-		j.state, j.recordedState = e.Progress.State, e.Progress.State
-	}
+	j := m.newJobState(e)
 	m.jobs[e.Job.ID] = j
 	m.contention.uncountedJobs = append(m.contention.uncountedJobs, j)
 	if j.state.IsFinal() {
@@ -187,6 +168,31 @@
 	m.isCycleNeeded = true
 }
 
+// newJobState returns the state of a submitted job without occurrences. addJob calls it.
+func (m *Machine) newJobState(e JobSubmitted) *job {
+	j := &job{
+		def:              e.Job,
+		account:          m.ledger.Account(e.Job.Customer),
+		state:            cell.StateQueued,
+		recordedState:    cell.StateQueued,
+		steps:            map[cell.StepID]*step{},
+		occurrences:      map[int]*occurrence{},
+		occurrenceBytes:  estimateOccurrenceBytes(e.Job),
+		estimateInterval: estimateIntervalOf(e.Job),
+		submittedAt:      m.now.Mono - max(0, min(m.now.Wall.Sub(e.Job.AcceptedAt), time.Minute)),
+	}
+	if e.Progress != nil {
+		j.state, j.recordedState = e.Progress.State, e.Progress.State
+	}
+	for i := range e.Job.Steps {
+		if n := e.Job.Steps[i].Count; n > 0 {
+			j.tasksPerOccurrence += n
+			j.stepsWithTasks++
+		}
+	}
+	return j
+}
+
 // occurrencesInOrder returns the open occurrences in the order of their numbers.
 func (j *job) occurrencesInOrder() []*occurrence {
 	return slices.SortedFunc(maps.Values(j.occurrences), func(a, b *occurrence) int { return cmp.Compare(a.number, b.number) })
--- a/internal/cell/owner/machine.go
+++ b/internal/cell/owner/machine.go
@@ -100,7 +100,8 @@
 	waitingSteps map[cell.StepID]*step
 	// recurringJobs are the jobs with occurrences that are not released yet.
 	recurringJobs map[cell.JobID]*job
-	// occurrenceMemory is the budget of the open occurrences in bytes, occurrenceBytes what they take.
+	// occurrenceMemory is the budget of the open occurrences in bytes, occurrenceBytes what they
+	// take.
 	occurrenceMemory, occurrenceBytes int64
 	// releaseQueue is reused by releaseDueOccurrences.
 	releaseQueue releaseQueue
--- a/internal/cell/owner/objective.go
+++ b/internal/cell/owner/objective.go
@@ -32,8 +32,8 @@
 	isSet bool
 }
 
-// pathEstimate is an estimate that takes a pass over all steps and dependencies of a job. Every cycle
-// uses it for each waiting step of the job.
+// pathEstimate is an estimate that takes a pass over all steps and dependencies of a job. Every
+// cycle uses it for each waiting step of the job.
 type pathEstimate struct {
 	value, at time.Duration
 	// queue is the configuration of the job's queue that was used, nil before the first computation.
@@ -42,8 +42,8 @@
 
 const (
 	// estimateIntervalPerStep and estimateIntervalPerDependency are more than a hundred times the
-	// processor time that an estimate takes, up to maxEstimateInterval. Estimates of jobs with up to 40
-	// steps are computed in each cycle.
+	// processor time that an estimate takes, up to maxEstimateInterval. Estimates of jobs with up to
+	// 40 steps are computed in each cycle.
 	estimateIntervalPerStep       = 100 * time.Microsecond
 	estimateIntervalPerDependency = 4 * time.Microsecond
 	maxEstimateInterval           = time.Second
--- a/internal/cell/owner/occurrences.go
+++ b/internal/cell/owner/occurrences.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// removeIfEnded removes an occurrence of a repeated job that is done and has no open run. It runs when a
-// step is done, when a run was closed and when a job is added.
+// removeIfEnded removes an occurrence of a repeated job that is done and has no open run. It runs
+// when a step is done, when a run was closed and when a job is added.
 func (m *Machine) removeIfEnded(o *occurrence) {
 	j := o.job
 	if j.def.Repeat == 0 || !o.isDone() || j.occurrences[o.number] != o {
@@ -188,8 +188,8 @@
 }
 
 // restoreOccurrences opens the occurrences with recorded progress that are not done or have open
-// runs. The former owner has released them, also if they are not due yet by the clock of this VM: their
-// progress would be lost otherwise. addJob calls it.
+// runs. The former owner has released them, also if they are not due yet by the clock of this VM:
+// their progress would be lost otherwise. addJob calls it.
 func (m *Machine) restoreOccurrences(j *job, progress *cell.Progress) {
 	if progress == nil {
 		return
--- a/internal/cell/owner/release.go
+++ b/internal/cell/owner/release.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// mayRelease reports whether the next occurrence of a job is due and the job may have one more open, apart
-// from memory.
+// mayRelease reports whether the next occurrence of a job is due and the job may have one more
+// open, apart from memory.
 func (m *Machine) mayRelease(j *job) bool {
 	if !j.findNextOccurrence() {
 		delete(m.recurringJobs, j.def.ID)
