--- a/internal/cell/node/metrics.go
+++ b/internal/cell/node/metrics.go
@@ -15,6 +15,9 @@
 	callerRequests  *prometheus.CounterVec
 	startRequests   prometheus.Counter
 	progressAppends prometheus.Counter
+	// storeReads and storeReadBytes count the reads of topics and what they returned.
+	storeReads     *prometheus.CounterVec
+	storeReadBytes *prometheus.CounterVec
 	// unsentRequests counts requests to workers that were not sent because their
 	// permission had expired.
 	unsentRequests prometheus.Counter
@@ -48,6 +51,12 @@
 		progressAppends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gypsumwinch_progress_appends_total", Help: "Appends of progress to the store.",
 		}),
+		storeReads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumwinch_store_reads_total", Help: "Reads of topics of the store by outcome.",
+		}, []string{"topic", "outcome"}),
+		storeReadBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gypsumwinch_store_read_bytes_total", Help: "Bytes of the records that reads of topics returned.",
+		}, []string{"topic"}),
 		unsentRequests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gypsumwinch_unsent_requests_total", Help: "Requests to workers that were not sent because their permission had expired.",
 		}),
@@ -77,7 +86,7 @@
 		}, []string{"listener", "reason"}),
 	}
 	m.customerLoads = newCustomerLoads(m.registry)
-	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs,
+	m.registry.MustRegister(m.callerRequests, m.startRequests, m.progressAppends, m.storeReads, m.storeReadBytes, m.unsentRequests, m.panics, m.ownerTerm, m.knownJobs, m.expiredJobs,
 		m.suspectWorkers, m.bestEffortRuns, m.distinctWorkers, m.clientLimits)
 	return m
 }
--- a/internal/cell/node/storerouter.go
+++ b/internal/cell/node/storerouter.go
@@ -238,7 +238,7 @@
 		}()
 	}
 	inFlight, hedgeCount := 1, 0
-	var unknown error
+	var unknown, directErr error
 	var last routeResult[T]
 	for {
 		select {
@@ -257,6 +257,9 @@
 			sr.recordAnswer(last.isDirect, last.took, bootTime()-startedAt, storeWait > 0)
 			return last.value, last.err
 		}
+		if last.isDirect {
+			directErr = last.err
+		}
 		if !errors.Is(last.err, cell.ErrNotExecuted) {
 			unknown = last.err
 		}
@@ -268,14 +271,22 @@
 			continue
 		}
 		if inFlight == 0 {
-			if unknown != nil {
-				return last.value, unknown
+			if unknown == nil {
+				unknown = last.err
 			}
-			return last.value, last.err
+			return last.value, withDirectError(unknown, directErr)
 		}
 	}
 }
 
+// withDirectError adds the error of the direct call to that of a call that failed on both routes.
+func withDirectError(err, directErr error) error {
+	if err == directErr {
+		return eris.Wrap(err, "call the store directly")
+	}
+	return eris.Wrapf(err, "direct call failed (%v); other route", directErr)
+}
+
 // recordAnswer records which route answered first, how long that route took
 // and for how long the direct route has been tried. If the direct call has had
 // less than hedgeLatencyFactor times as long as the other route, the store may
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -28,6 +28,9 @@
 	unnotifiedTTL = 3 * time.Second
 	// readRetryInterval is the pause after a read that failed.
 	readRetryInterval = 150 * time.Millisecond
+	// largeReadBytes is the size from which a read is logged, in bytes: on a link of 10 Mbit/s
+	// it takes 0.1 s.
+	largeReadBytes = 128 << 10
 )
 
 // topicReader reads one topic: first the newest record of each key, then the
@@ -42,6 +45,7 @@
 	// of their deletions may have expired. It is nil for topics without deletions.
 	knownKeys func() []string
 	log       func(message string, details ...any)
+	metrics   *metrics
 
 	wakeup     chan struct{}
 	mu         sync.Mutex
@@ -69,6 +73,7 @@
 		known = t.knownKeys()
 	}
 	batch, err := t.store.Newest(ctx, t.topic)
+	t.countRead(batch, sentAt, err)
 	if err != nil {
 		return err
 	}
@@ -127,6 +132,7 @@
 	sentAt := bootTime()
 	position := t.nextOffset.Load()
 	batch, err := t.store.Read(ctx, t.topic, position, wait)
+	t.countRead(batch, sentAt, err)
 	if errors.Is(err, cell.ErrExpired) {
 		cause := err
 		if err = t.loadNewest(ctx); err == nil && t.nextOffset.Load() == position {
@@ -149,6 +155,24 @@
 	return false, nil
 }
 
+// countRead counts a call of the store, and logs one that returned much. read and loadNewest
+// call it.
+func (t *topicReader) countRead(batch cell.Batch, sentAt time.Duration, err error) {
+	if err != nil {
+		t.metrics.storeReads.WithLabelValues(string(t.topic), "failed").Inc()
+		return
+	}
+	size := 0
+	for _, r := range batch.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	t.metrics.storeReads.WithLabelValues(string(t.topic), "done").Inc()
+	t.metrics.storeReadBytes.WithLabelValues(string(t.topic)).Add(float64(size))
+	if size >= largeReadBytes {
+		t.log("large read", "topic", string(t.topic), "bytes", size, "records", len(batch.Records), "took_ms", (bootTime() - sentAt).Milliseconds())
+	}
+}
+
 // recordRead records a read to the end of the topic that was sent at sentAt. read and
 // loadNewest call it once its records are applied.
 func (t *topicReader) recordRead(sentAt time.Duration) {
--- a/internal/cell/node/topics.go
+++ b/internal/cell/node/topics.go
@@ -12,7 +12,7 @@
 // configuration; pollWorkers creates one for the workers' entries in each term
 // of this VM.
 func (n *Node) newTopicReader(topic cell.Topic, apply func([]cell.KeyValue)) *topicReader {
-	return &topicReader{store: n.store, topic: topic, apply: apply, wakeup: make(chan struct{}, 1), log: func(message string, details ...any) {
+	return &topicReader{store: n.store, topic: topic, apply: apply, wakeup: make(chan struct{}, 1), metrics: n.metrics, log: func(message string, details ...any) {
 		n.log.Info(message, details...)
 	}}
 }
