Reproduce the reads of a large configuration over narrow links in simulated time

TestLargeConfigurationIsReadInTimeOverNarrowLinks runs the real client and router of 41 VMs on simulated links (31 of 10 Mbit/s) against a store whose reads share 80 MB/s.

The stand-in of the store refused records of operators above 256 KB, a limit of VMs' appends, so that no test had such a configuration.

--- /dev/null
+++ b/internal/cell/node/largeconfig_test.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gypsumwinch/internal/cell"
+	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/platform"
+	"gypsumwinch/standin/cellstore"
+)
+
+const (
+	// simulatedRouteBytes is the size of a route in a configuration.
+	simulatedRouteBytes = 192
+	// configApplyBound is when a configuration must be in force.
+	configApplyBound = 3 * time.Second
+	// drainBound is when the owner must know that a worker leaves.
+	drainBound = 3 * time.Second
+	// configTopic and workersTopic are the store's names of two topics.
+	configTopic  cell.Topic = "keyed.op"
+	workersTopic cell.Topic = "keyed.servers"
+)
+
+// simulatedCell is a cell whose VMs read the configuration over simulated links.
+type simulatedCell struct {
+	store *cellstore.Store
+	vms   []*simulatedVM
+	// storeReads counts the bytes that the store has read for all VMs.
+	storeReads *link
+}
+
+// simulatedVM is the part of a VM that reads the store.
+type simulatedVM struct {
+	host    *host
+	router  *storeRouter
+	applied chan int
+	config  *topicReader
+}
+
+// runCell runs a cell of large VMs with 200 Mbit/s, the first of which is the owner, and small ones
+// until test returns.
+func runCell(t *testing.T, large, small int, smallMegabits, storeMegabits float64, test func(context.Context, *simulatedCell)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	net := network{}
+	storeHost := net.add("store:80", 4000)
+	c := &simulatedCell{store: &cellstore.Store{}}
+	var stop func()
+	c.storeReads, stop = serveStore(storeHost, c.store, storeMegabits)
+	stops := []func(){cancel, stop}
+	defer func() {
+		for _, stop := range stops {
+			stop()
+		}
+		time.Sleep(time.Minute) // for calls in flight
+	}()
+	for i := range large + small {
+		megabits := 200.0
+		if i >= large {
+			megabits = smallMegabits
+		}
+		vm := &simulatedVM{host: net.add(fmt.Sprintf("vm%d:80", i), megabits), applied: make(chan int, 100)}
+		direct := platform.NewStoreWithDialer(func() string { return storeHost.addr }, net.dialFrom(vm.host))
+		client := newPeerHTTPClient()
+		client.Transport = reachedThrough(client.Transport, net.dialFrom(vm.host))
+		vm.router = newRouter(direct)
+		vm.router.proxies = func() (out []cellpb.Cell) {
+			for k := range 4 {
+				out = append(out, cellpb.NewCellProtobufClient(fmt.Sprintf("http://vm%d:80", 1+(i+k)%(large-1)), client))
+			}
+			return out
+		}
+		server := &http.Server{Handler: cellpb.NewCellServer(&proxyPeer{router: vm.router})}
+		go server.Serve(vm.host)
+		vm.config = readerOf(vm.router, cell.TopicConfig, func(records []cell.KeyValue) {
+			for _, r := range records {
+				vm.applied <- len(r.Value)
+			}
+		})
+		stops = append(stops, func() { server.Close() }, direct.CloseIdleConnections, client.CloseIdleConnections)
+		c.vms = append(c.vms, vm)
+		go func() {
+			sleep(ctx, time.Duration(i)*17*time.Millisecond)
+			vm.config.poll(ctx, func() time.Duration { return 0 }, func() time.Duration { return configReadInterval })
+		}()
+	}
+	test(ctx, c)
+}
+
+func readerOf(store cell.Store, topic cell.Topic, apply func([]cell.KeyValue)) *topicReader {
+	return &topicReader{store: store, topic: topic, apply: apply, wakeup: make(chan struct{}, 1), metrics: newMetrics(func() float64 { return 0 }), log: func(string, ...any) {}}
+}
+
+// writeConfig appends a configuration of so many routes.
+func (c *simulatedCell) writeConfig(t *testing.T, routes int) {
+	is := is.New(t)
+	is.NoErr(c.store.Write(configTopic, cell.KeyValue{Key: "op/config", Value: bytes.Repeat([]byte{'x'}, routes*simulatedRouteBytes)}))
+}
+
+// lateVMs returns how many VMs have not read a configuration of so many routes by now.
+func (c *simulatedCell) lateVMs(routes int) (late int) {
+	for _, vm := range c.vms {
+		newest := 0
+		for len(vm.applied) > 0 {
+			newest = <-vm.applied
+		}
+		if newest != routes*simulatedRouteBytes {
+			late++
+		}
+	}
+	return late
+}
+
+// TestLargeConfigurationIsReadInTimeOverNarrowLinks guards against VMs that never read a configuration, since the read is cut off while it moves, and whose retries and hedges take the store's bandwidth from all.
+func TestLargeConfigurationIsReadInTimeOverNarrowLinks(t *testing.T) {
+	for _, routes := range []int{1445, 2845, 4245, 8445} {
+		t.Run(fmt.Sprint(routes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				runCell(t, 10, 31, 10, 640, func(ctx context.Context, c *simulatedCell) {
+					var lastWorkersRead, longest time.Duration
+					begin := time.Now()
+					workers := readerOf(c.vms[0].router, cell.TopicWorkers, func([]cell.KeyValue) {})
+					go func() {
+						for ctx.Err() == nil {
+							if _, err := workers.read(ctx, 0); err == nil {
+								longest = max(longest, time.Since(begin)-lastWorkersRead)
+								lastWorkersRead = time.Since(begin)
+							}
+							sleep(ctx, workerListInterval)
+						}
+					}()
+					c.writeConfig(t, 45)
+					time.Sleep(configApplyBound)
+					is.Equal(c.lateVMs(45), 0)
+					for range 4 {
+						before := c.storeReads.carried.Load()
+						c.writeConfig(t, routes)
+						time.Sleep(configApplyBound)
+						is.Equal(c.lateVMs(routes), 0)
+						read := c.storeReads.carried.Load() - before
+						is.True(read <= int64(len(c.vms)*(routes*simulatedRouteBytes+10_000))) // once for each VM
+					}
+					is.True(longest < drainBound) // the owner's reads of workers' entries
+				})
+			})
+		})
+	}
+}
--- a/standin/cellstore/cellstore.go
+++ b/standin/cellstore/cellstore.go
@@ -178,7 +178,7 @@
 		time.AfterFunc(delay, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			_, _ = s.appendRecords(a)
+			_, _ = s.appendOfVM(a)
 		})
 		fallthrough
 	case Silent:
@@ -186,7 +186,7 @@
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
-	end, err := s.appendRecords(a)
+	end, err := s.appendOfVM(a)
 	s.mu.Unlock()
 	if fault == LoseAnswer {
 		return 0, ErrLost
@@ -194,14 +194,29 @@
 	return end, err
 }
 
-// appendRecords executes an append: it checks the size of the records, the fencing token and the expected
-// end, stores the records and wakes waiting reads. Append calls it with s.mu locked.
-func (s *Store) appendRecords(a cell.Append) (int64, error) {
+// Write appends a record of the operator or of a worker, which may be longer than
+// cell.MaxRecordBytes.
+func (s *Store) Write(name cell.Topic, record cell.KeyValue) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.appendRecords(cell.Append{Topic: name, Records: []cell.KeyValue{record}, ExpectedEnd: -1})
+	return err
+}
+
+// appendOfVM executes an append of a VM, unless a record of it is too long. Append calls it with
+// s.mu locked.
+func (s *Store) appendOfVM(a cell.Append) (int64, error) {
 	for _, r := range a.Records {
 		if 1+len(r.Key)+len(r.Value) > cell.MaxRecordBytes {
 			return 0, cell.ErrNotExecuted
 		}
 	}
+	return s.appendRecords(a)
+}
+
+// appendRecords executes an append: it checks the fencing token and the expected end, stores the records
+// and wakes waiting reads. appendOfVM and Write call it with s.mu locked.
+func (s *Store) appendRecords(a cell.Append) (int64, error) {
 	t := s.topic(a.Topic)
 	if a.Epoch > 0 {
 		if end, done, err := t.fence(a); done || err != nil {
--- a/standin/storeserver/platform.go
+++ b/standin/storeserver/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -124,8 +123,7 @@
 }
 
 func (s *Server) write(topic cell.Topic, key string, value []byte) error {
-	_, err := s.Store.Append(context.Background(), cell.Append{Topic: topic, Records: []cell.KeyValue{{Key: key, Value: value}}, ExpectedEnd: -1})
-	return err
+	return s.Store.Write(topic, cell.KeyValue{Key: key, Value: value})
 }
 
 // VMSettings are the settings of the process of one VM.
