Limit the time in which nothing of a read arrives, not that of the whole read

Cause: a read ended after 0.8 s in the store's client and 1 s in the router, whatever it carried, and began anew. 815 KB (4,245 routes) take 0.65 s on a link of 10 Mbit/s alone, 1.3 s beside a second copy: small VMs never read them.

Change: package progress reports the arrival of data through the context of a call; the client, the router and the pages of newest records end a call once nothing arrives for their limit. The limits are the same as before. Answers of other VMs report progress too.

Evidence: TestReadThatMovesIsNotCutOff failed before (815 KB at 5 Mbit/s, 1.6 MB at 2 Mbit/s).

--- a/internal/cell/node/advice.go
+++ b/internal/cell/node/advice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -292,15 +291,3 @@
 	}
 	return resp, nil
 }
-
-// newPeerHTTPClient returns the HTTP client for calls between entry VMs. New
-// calls it once; all clients of other VMs share the result.
-func newPeerHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialPeer,
-		MaxIdleConnsPerHost: maxPeerConns,
-		MaxConnsPerHost:     maxPeerConns,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
-	}}
-}
--- /dev/null
+++ b/internal/cell/node/peerclient.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"gypsumwinch/internal/progress"
+)
+
+// newPeerHTTPClient returns the HTTP client for calls between entry VMs. New
+// calls it once; all clients of other VMs share the result.
+func newPeerHTTPClient() *http.Client {
+	return newPeerHTTPClientWithDialer(dialPeer)
+}
+
+// newPeerHTTPClientWithDialer is newPeerHTTPClient with another way to open connections.
+func newPeerHTTPClientWithDialer(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: progressTransport{&http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxPeerConns,
+		MaxConnsPerHost:     maxPeerConns,
+		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+// progressTransport reports the arrival of responses as the progress of their calls.
+type progressTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t progressTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	progress.Report(req.Context())
+	resp.Body = progress.NewBody(req.Context(), resp.Body)
+	return resp, nil
+}
--- a/internal/cell/node/storerouter.go
+++ b/internal/cell/node/storerouter.go
@@ -10,6 +10,7 @@
 
 	"gypsumwinch/internal/cell"
 	"gypsumwinch/internal/cell/cellpb"
+	"gypsumwinch/internal/progress"
 )
 
 // The store may answer some VMs and not others. A VM that it does not answer
@@ -27,7 +28,8 @@
 	// storeAnswerTTL is how long an answer of the store shows that it still
 	// answers; the store is read every 0.8 s.
 	storeAnswerTTL = 1200 * time.Millisecond
-	// readTimeoutSlack is added to the wait time of a read to get its timeout.
+	// readTimeoutSlack is how long a read may go without progress, in addition to its wait time
+	// at the beginning.
 	readTimeoutSlack = time.Second
 	// minHedgeDelay is the minimum delay before a call is hedged through a store
 	// proxy; an answer takes 4 to 10 ms.
@@ -45,8 +47,9 @@
 	// newestHedgeExtra is added to the hedge delay of Newest, which reads several
 	// pages.
 	newestHedgeExtra = 300 * time.Millisecond
-	// defaultNewestTimeout bounds Newest. A slow store takes 0.35 s for each page,
-	// and the progress of 150 s at 85 jobs a second has 26 pages.
+	// defaultNewestTimeout bounds the time without progress of Newest; through a proxy there is
+	// none before the last page. A slow store takes 0.35 s for each page, and the progress of
+	// 150 s at 85 jobs a second has 26 pages.
 	defaultNewestTimeout = 15 * time.Second
 )
 
@@ -337,32 +340,34 @@
 	})
 }
 
-// Read implements cell.Store. Its timeout is wait plus readTimeoutSlack. Topic
-// readers, the election and lookups of unknown jobs call it.
+// Read implements cell.Store. It ends without progress for readTimeoutSlack, at the beginning
+// wait longer. Topic readers, the election and lookups of unknown jobs call it.
 func (sr *storeRouter) Read(ctx context.Context, topic cell.Topic, from int64, wait time.Duration) (cell.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutSlack)
+	ctx, cancel := progress.WithStallTimeout(ctx, wait+readTimeoutSlack, readTimeoutSlack)
 	defer cancel()
 	req := &cellpb.ReadRequest{Topic: string(topic), From: from, WaitMs: wait.Milliseconds()}
-	return callHedged(ctx, sr, wait, false, func(ctx context.Context) (cell.Batch, error) {
+	batch, err := callHedged(ctx, sr, wait, false, func(ctx context.Context) (cell.Batch, error) {
 		return sr.direct.Read(ctx, topic, from, wait)
 	}, func(ctx context.Context) (timedAnswer[cell.Batch], error) {
 		return sr.batchThroughProxies(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
 	})
+	return batch, progress.Cause(ctx, err)
 }
 
-// Newest implements cell.Store. Its timeout is newestTimeout. Topic readers and the election call it when
+// Newest implements cell.Store. It ends without progress for newestTimeout. Topic readers and the election call it when
 // they have no position in a topic yet or the store no longer keeps it.
 func (sr *storeRouter) Newest(ctx context.Context, topic cell.Topic) (cell.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, sr.newestTimeout)
+	ctx, cancel := progress.WithStallTimeout(ctx, sr.newestTimeout, sr.newestTimeout)
 	defer cancel()
 	req := &cellpb.NewestRequest{Topic: string(topic)}
-	return callHedged(ctx, sr, newestHedgeExtra, false, func(ctx context.Context) (cell.Batch, error) {
+	batch, err := callHedged(ctx, sr, newestHedgeExtra, false, func(ctx context.Context) (cell.Batch, error) {
 		return sr.direct.Newest(ctx, topic)
 	}, func(ctx context.Context) (timedAnswer[cell.Batch], error) {
 		return sr.batchThroughProxies(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) {
 			return peer.Newest(ctx, req)
 		})
 	})
+	return batch, progress.Cause(ctx, err)
 }
 
 // batchThroughProxies makes a call that returns a batch through store proxies
