Do not hedge reads whose answer arrives, and measure the latency of the store by the first data

Cause: a read counted as slow for its size. After 80 ms it was hedged through up to three store proxies, which read the same records again and sent them over the same narrow link. The store went on answering calls that had ended, so that its shared bandwidth was used up by copies and reads of all topics by all VMs timed out, also the owner's reads of workers' entries, until long after the change. If a proxy answered first, the direct route counted as failed, though data was arriving on it.

Change: a hedge starts when nothing has arrived for the hedge delay, and ends if the direct answer begins to arrive before its own; the next proxy is called by the same rule. A route on which data arrives does not count as failed. Latencies, which decide hedge delays and whether the store is slow, are those of the first data. Reads of the configuration, which all VMs make at once, are hedged after 0.5 s at the earliest.

--- a/internal/cell/node/largeconfig_test.go
+++ b/internal/cell/node/largeconfig_test.go
@@ -50,6 +50,7 @@
 func runCell(t *testing.T, large, small int, smallMegabits, storeMegabits float64, test func(context.Context, *simulatedCell)) {
 	ctx, cancel := context.WithCancel(t.Context())
 	net := network{}
+	begin := time.Now().Add(-time.Hour)
 	storeHost := net.add("store:80", 4000)
 	c := &simulatedCell{store: &cellstore.Store{}}
 	var stop func()
@@ -70,6 +71,7 @@
 		direct := platform.NewStoreWithDialer(func() string { return storeHost.addr }, net.dialFrom(vm.host))
 		client := newPeerHTTPClientWithDialer(net.dialFrom(vm.host))
 		vm.router = newRouter(direct)
+		vm.router.now = func() time.Duration { return time.Since(begin) }
 		vm.router.proxies = func() (out []cellpb.Cell) {
 			for k := range 4 {
 				out = append(out, cellpb.NewCellProtobufClient(fmt.Sprintf("http://vm%d:80", 1+(i+k)%(large-1)), client))
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -225,7 +225,7 @@
 	n.workers = containedWorkers{ports.Workers, n.panics}
 	n.advisor = containedAdvisor{ports.Advisor, n.panics}
 	n.decoder = containedDecoder{ports.Decoder, n.panics}
-	n.storeRouter = &storeRouter{direct: containedStore{ports.Store, n.panics}, proxies: n.storeProxyClients, newestTimeout: defaultNewestTimeout, log: func(message string, details ...any) {
+	n.storeRouter = &storeRouter{direct: containedStore{ports.Store, n.panics}, proxies: n.storeProxyClients, newestTimeout: defaultNewestTimeout, now: bootTime, log: func(message string, details ...any) {
 		n.log.Warn(message, details...)
 	}}
 	n.store = n.storeRouter
--- a/internal/cell/node/peerclient.go
+++ b/internal/cell/node/peerclient.go
@@ -34,7 +34,6 @@
 	if err != nil {
 		return nil, err
 	}
-	progress.Report(req.Context())
-	resp.Body = progress.NewBody(req.Context(), resp.Body)
+	resp.Body = progress.NewBody(req.Context(), resp)
 	return resp, nil
 }
--- a/internal/cell/node/storerouter.go
+++ b/internal/cell/node/storerouter.go
@@ -44,6 +44,10 @@
 	// maxHedgePostponement bounds how long an append waits for a slow store before it
 	// is hedged.
 	maxHedgePostponement = time.Second
+	// configHedgeDelay is the minimum delay before a read of the configuration is hedged. Its
+	// records are the largest by far, so that copies would fill the store's bandwidth and the links
+	// when all VMs read a new version; the version may take seconds to come into force.
+	configHedgeDelay = 500 * time.Millisecond
 	// newestHedgeExtra is added to the hedge delay of Newest, which reads several
 	// pages.
 	newestHedgeExtra = 300 * time.Millisecond
@@ -68,14 +72,16 @@
 	// latency is that of the store's last answer to a call that did not wait at
 	// the store.
 	latency atomic.Int64
-	// answeredAt is the boot time of the store's last direct answer.
+	// answeredAt is the boot time at which a direct answer of the store last arrived, whole or in part.
 	answeredAt atomic.Int64
+	// now returns the boot time.
+	now func() time.Duration
 }
 
 // hasRecentAnswer reports whether the store has answered this VM directly
 // within storeAnswerTTL. Each hello message of this VM reports it.
 func (sr *storeRouter) hasRecentAnswer() bool {
-	return !sr.isUnreachable() && bootTime()-time.Duration(sr.answeredAt.Load()) < storeAnswerTTL
+	return !sr.isUnreachable() && sr.now()-time.Duration(sr.answeredAt.Load()) < storeAnswerTTL
 }
 
 // isUnreachable reports whether the direct route to the store has failed.
@@ -91,7 +97,7 @@
 // for its answer instead of being hedged: the store is slow and has answered another
 // direct call since, so that the direct route works.
 func (sr *storeRouter) postponesHedge(sentAt time.Duration) bool {
-	return sr.isSlow() && time.Duration(sr.answeredAt.Load()) > sentAt && bootTime()-sentAt < maxHedgePostponement
+	return sr.isSlow() && time.Duration(sr.answeredAt.Load()) > sentAt && sr.now()-sentAt < maxHedgePostponement
 }
 
 // isStoreAnswer reports whether an error is an answer of a working store.
@@ -108,16 +114,16 @@
 // the direct route has failed.
 func (sr *storeRouter) probeDirect() {
 	last := sr.probedAt.Load()
-	if bootTime()-time.Duration(last) < probeInterval || !sr.probedAt.CompareAndSwap(last, int64(bootTime())) {
+	if sr.now()-time.Duration(last) < probeInterval || !sr.probedAt.CompareAndSwap(last, int64(sr.now())) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		startedAt := bootTime()
+		startedAt := sr.now()
 		if _, err := sr.direct.Newest(ctx, cell.TopicOwner); err == nil {
-			took := bootTime() - startedAt
-			sr.recordAnswer(true, took, took, false)
+			took := sr.now() - startedAt
+			sr.recordAnswer(routeAnswer{isDirect: true, took: took})
 		}
 	}()
 }
@@ -136,16 +142,17 @@
 }
 
 // callProxies calls the store through proxies until one of them returns an
-// answer of the store. The next proxy is called after the hedge delay, or at
-// once if a proxy returns without an answer of the store. callHedged runs it,
+// answer of the store. The next proxy is called after the hedge delay without progress,
+// or at once if a proxy returns without an answer of the store. callHedged runs it,
 // through Append, Read and Newest, when a call is hedged or the direct route
 // has failed.
-func callProxies[T any](ctx context.Context, sr *storeRouter, call func(context.Context, cellpb.Cell) (T, cellpb.Outcome, error)) (timedAnswer[T], error) {
+func callProxies[T any](ctx context.Context, sr *storeRouter, hedgeDelay time.Duration, call func(context.Context, cellpb.Cell) (T, cellpb.Outcome, error)) (timedAnswer[T], error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := sr.proxies()
 	peers = peers[:min(maxProxiesPerCall, len(peers))]
 	results := make(chan proxyResult[T], len(peers))
+	latest := new(progress.Clock) // of the proxy that was called last
 	nextCall := time.NewTimer(0)
 	defer nextCall.Stop()
 	err := eris.Wrap(cell.ErrNotExecuted, "no store proxy is known")
@@ -156,15 +163,21 @@
 			if called == len(peers) {
 				continue
 			}
+			if rest := sr.restOfDelay(latest, hedgeDelay); rest > 0 {
+				nextCall.Reset(rest)
+				continue
+			}
 			peer := peers[called]
 			called++
 			inFlight++
+			arrivals := new(progress.Clock)
+			latest = arrivals
 			go func() {
-				startedAt := bootTime()
-				value, outcome, err := call(ctx, peer)
-				results <- proxyResult[T]{timedAnswer[T]{value, bootTime() - startedAt}, outcome, err}
+				startedAt := sr.now()
+				value, outcome, err := call(arrivals.Observe(ctx, sr.now), peer)
+				results <- proxyResult[T]{timedAnswer[T]{value, sr.latencyOf(arrivals, startedAt)}, outcome, err}
 			}()
-			nextCall.Reset(sr.hedgeDelay())
+			nextCall.Reset(hedgeDelay)
 			continue
 		case r := <-results:
 			inFlight--
@@ -201,6 +214,33 @@
 	return max(minHedgeDelay, hedgeLatencyFactor*time.Duration(sr.latency.Load()))
 }
 
+// readHedgeDelay is the hedge delay of reads of a topic.
+func (sr *storeRouter) readHedgeDelay(topic cell.Topic) time.Duration {
+	if topic == cell.TopicConfig {
+		return max(configHedgeDelay, sr.hedgeDelay())
+	}
+	return sr.hedgeDelay()
+}
+
+// restOfDelay returns how much of a hedge delay is left since data last arrived, or 0 if none has
+// arrived within it.
+func (sr *storeRouter) restOfDelay(arrivals *progress.Clock, hedgeDelay time.Duration) time.Duration {
+	last, moved := arrivals.Last()
+	if !moved {
+		return 0
+	}
+	return max(0, hedgeDelay-(sr.now()-last))
+}
+
+// latencyOf returns the time from the start of a call to the first data of its answer. The rest
+// depends on the size of the answer. Calls whose client reports no arrivals are measured as a whole.
+func (sr *storeRouter) latencyOf(arrivals *progress.Clock, startedAt time.Duration) time.Duration {
+	if first, moved := arrivals.First(); moved {
+		return first - startedAt
+	}
+	return sr.now() - startedAt
+}
+
 // routeResult is the result of one route of a call.
 type routeResult[T any] struct {
 	timedAnswer[T]
@@ -208,18 +248,25 @@
 	isDirect bool
 }
 
+// hedgePolicy says when a call is hedged.
+type hedgePolicy struct {
+	// storeWait is the time for which the store may hold the call by itself.
+	storeWait time.Duration
+	delay     time.Duration
+	isAppend  bool
+}
+
 // callHedged calls the store directly and hedges the call through a store
-// proxy if no answer comes in time. The first answer of the store counts.
-// storeWait is the time for which the store may hold the call by itself. While
+// proxy if nothing arrives in time. The first answer of the store counts. While
 // the direct route has failed, it calls the store through proxies only.
 // Append, Read and Newest call it, on the goroutine of whoever calls them;
 // each route runs on its own goroutine. The hedge of an append is postponed while the
 // store is only slow; see postponesHedge.
-func callHedged[T any](ctx context.Context, sr *storeRouter, storeWait time.Duration, isAppend bool, direct func(context.Context) (T, error), viaProxy func(context.Context) (timedAnswer[T], error)) (T, error) {
+func callHedged[T any](ctx context.Context, sr *storeRouter, policy hedgePolicy, direct func(context.Context) (T, error), viaProxy func(context.Context) (timedAnswer[T], error)) (T, error) {
 	if sr.isUnreachable() {
 		sr.probeDirect()
 		r, err := viaProxy(ctx)
-		if storeWait == 0 && (err == nil || isStoreAnswer(err)) {
+		if policy.storeWait == 0 && (err == nil || isStoreAnswer(err)) {
 			sr.latency.Store(int64(r.took))
 		}
 		return r.value, err
@@ -227,14 +274,23 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan routeResult[T], 2)
-	startedAt := bootTime()
+	startedAt := sr.now()
+	arrivals := new(progress.Clock)
+	var hedge hedgeRoute
 	go func() {
+		ctx := progress.Observe(arrivals.Observe(ctx, sr.now), func() {
+			sr.answeredAt.Store(int64(sr.now()))
+			if !policy.isAppend {
+				hedge.cancelUnlessMoving()
+			}
+		})
 		v, err := direct(ctx)
-		results <- routeResult[T]{timedAnswer[T]{v, bootTime() - startedAt}, err, true}
+		results <- routeResult[T]{timedAnswer[T]{v, sr.latencyOf(arrivals, startedAt)}, err, true}
 	}()
-	timer := time.NewTimer(storeWait + sr.hedgeDelay())
+	timer := time.NewTimer(policy.storeWait + policy.delay)
 	defer timer.Stop()
 	startHedge := func() {
+		ctx := hedge.start(ctx, sr.now)
 		go func() {
 			r, err := viaProxy(ctx)
 			results <- routeResult[T]{r, err, false}
@@ -246,8 +302,12 @@
 	for {
 		select {
 		case <-timer.C:
-			if isAppend && sr.postponesHedge(startedAt) {
-				timer.Reset(sr.hedgeDelay())
+			if policy.isAppend && sr.postponesHedge(startedAt) {
+				timer.Reset(policy.delay)
+				continue
+			}
+			if rest := sr.restOfDelay(arrivals, policy.delay); rest > 0 {
+				timer.Reset(rest)
 				continue
 			}
 			startHedge()
@@ -257,7 +317,8 @@
 		}
 		inFlight--
 		if last.err == nil || isStoreAnswer(last.err) {
-			sr.recordAnswer(last.isDirect, last.took, bootTime()-startedAt, storeWait > 0)
+			_, hasMoved := arrivals.First()
+			sr.recordAnswer(routeAnswer{isDirect: last.isDirect, took: last.took, directElapsed: sr.now() - startedAt, mayWait: policy.storeWait > 0, directHasMoved: hasMoved})
 			return last.value, last.err
 		}
 		if last.isDirect {
@@ -282,6 +343,29 @@
 	}
 }
 
+// hedgeRoute is the route of a hedged call through proxies.
+type hedgeRoute struct {
+	arrivals progress.Clock
+	cancel   atomic.Pointer[context.CancelFunc]
+}
+
+// start returns the context of the route. now returns the boot time.
+func (h *hedgeRoute) start(ctx context.Context, now func() time.Duration) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	h.cancel.Store(&cancel)
+	return h.arrivals.Observe(ctx, now)
+}
+
+// cancelUnlessMoving ends the route, if it has been started, unless a part of its answer has
+// arrived. The direct route is then the faster one, and each copy of a large answer takes a share
+// of the link.
+func (h *hedgeRoute) cancelUnlessMoving() {
+	cancel := h.cancel.Load()
+	if _, moved := h.arrivals.First(); cancel != nil && !moved {
+		(*cancel)()
+	}
+}
+
 // withDirectError adds the error of the direct call to that of a call that failed on both routes.
 func withDirectError(err, directErr error) error {
 	if err == directErr {
@@ -290,23 +374,35 @@
 	return eris.Wrapf(err, "direct call failed (%v); other route", directErr)
 }
 
-// recordAnswer records which route answered first, how long that route took
-// and for how long the direct route has been tried. If the direct call has had
+// routeAnswer describes the first answer to a call.
+type routeAnswer struct {
+	isDirect bool
+	// took is the latency of the route that answered, directElapsed the time for which the direct
+	// route has been tried.
+	took, directElapsed time.Duration
+	// mayWait is true for a call that the store may hold by itself.
+	mayWait bool
+	// directHasMoved is true if a part of the direct answer has arrived.
+	directHasMoved bool
+}
+
+// recordAnswer records which route answered first, and its latency. If the direct call has had
 // less than hedgeLatencyFactor times as long as the other route, the store may
 // be slow for all VMs and the direct route does not count as failed. The
 // duration of a call that may wait at the store is no measure of its latency.
 // callHedged calls it with the first answer unless the direct route had failed
 // before, probeDirect after a successful probe.
-func (sr *storeRouter) recordAnswer(isDirect bool, took, directElapsed time.Duration, mayWait bool) {
-	if !mayWait {
-		sr.latency.Store(int64(took))
+func (sr *storeRouter) recordAnswer(a routeAnswer) {
+	if !a.mayWait {
+		sr.latency.Store(int64(a.took))
 	}
 	switch {
-	case isDirect:
-		sr.answeredAt.Store(int64(bootTime()))
+	case a.isDirect:
+		sr.answeredAt.Store(int64(sr.now()))
 		sr.markReachable()
-	case !mayWait && directElapsed < hedgeLatencyFactor*took:
-	case sr.unreachableSince.CompareAndSwap(0, int64(bootTime())):
+	case a.directHasMoved:
+	case !a.mayWait && a.directElapsed < hedgeLatencyFactor*a.took:
+	case sr.unreachableSince.CompareAndSwap(0, int64(sr.now())):
 		sr.log("store answers other VMs only")
 	}
 }
@@ -315,7 +411,7 @@
 // each direct answer.
 func (sr *storeRouter) markReachable() {
 	if since := sr.unreachableSince.Swap(0); since != 0 {
-		sr.log("store answers again", "after_ms", (bootTime() - time.Duration(since)).Milliseconds())
+		sr.log("store answers again", "after_ms", (sr.now() - time.Duration(since)).Milliseconds())
 	}
 }
 
@@ -326,10 +422,11 @@
 	req := &cellpb.AppendRequest{
 		Topic: string(a.Topic), Records: recordsToProto(a.Records), At: a.ExpectedEnd, Epoch: a.Epoch, Sequence: a.Sequence,
 	}
-	return callHedged(ctx, sr, 0, true, func(ctx context.Context) (int64, error) {
+	delay := sr.hedgeDelay()
+	return callHedged(ctx, sr, hedgePolicy{delay: delay, isAppend: true}, func(ctx context.Context) (int64, error) {
 		return sr.direct.Append(ctx, a)
 	}, func(ctx context.Context) (timedAnswer[int64], error) {
-		r, err := callProxies(ctx, sr, func(ctx context.Context, peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
+		r, err := callProxies(ctx, sr, delay, func(ctx context.Context, peer cellpb.Cell) (*cellpb.AppendResponse, cellpb.Outcome, error) {
 			resp, err := peer.Append(ctx, req)
 			return resp, resp.GetOutcome(), err
 		})
@@ -346,10 +443,11 @@
 	ctx, cancel := progress.WithStallTimeout(ctx, wait+readTimeoutSlack, readTimeoutSlack)
 	defer cancel()
 	req := &cellpb.ReadRequest{Topic: string(topic), From: from, WaitMs: wait.Milliseconds()}
-	batch, err := callHedged(ctx, sr, wait, false, func(ctx context.Context) (cell.Batch, error) {
+	delay := sr.readHedgeDelay(topic)
+	batch, err := callHedged(ctx, sr, hedgePolicy{storeWait: wait, delay: delay}, func(ctx context.Context) (cell.Batch, error) {
 		return sr.direct.Read(ctx, topic, from, wait)
 	}, func(ctx context.Context) (timedAnswer[cell.Batch], error) {
-		return sr.batchThroughProxies(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
+		return sr.batchThroughProxies(ctx, delay, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) { return peer.Read(ctx, req) })
 	})
 	return batch, progress.Cause(ctx, err)
 }
@@ -360,10 +458,11 @@
 	ctx, cancel := progress.WithStallTimeout(ctx, sr.newestTimeout, sr.newestTimeout)
 	defer cancel()
 	req := &cellpb.NewestRequest{Topic: string(topic)}
-	batch, err := callHedged(ctx, sr, newestHedgeExtra, false, func(ctx context.Context) (cell.Batch, error) {
+	delay := sr.readHedgeDelay(topic)
+	batch, err := callHedged(ctx, sr, hedgePolicy{storeWait: newestHedgeExtra, delay: delay}, func(ctx context.Context) (cell.Batch, error) {
 		return sr.direct.Newest(ctx, topic)
 	}, func(ctx context.Context) (timedAnswer[cell.Batch], error) {
-		return sr.batchThroughProxies(ctx, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) {
+		return sr.batchThroughProxies(ctx, delay, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, error) {
 			return peer.Newest(ctx, req)
 		})
 	})
@@ -372,8 +471,8 @@
 
 // batchThroughProxies makes a call that returns a batch through store proxies
 // and decodes the answer. It is the proxy route of Read and Newest.
-func (sr *storeRouter) batchThroughProxies(ctx context.Context, call func(context.Context, cellpb.Cell) (*cellpb.BatchResponse, error)) (timedAnswer[cell.Batch], error) {
-	r, err := callProxies(ctx, sr, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, cellpb.Outcome, error) {
+func (sr *storeRouter) batchThroughProxies(ctx context.Context, hedgeDelay time.Duration, call func(context.Context, cellpb.Cell) (*cellpb.BatchResponse, error)) (timedAnswer[cell.Batch], error) {
+	r, err := callProxies(ctx, sr, hedgeDelay, func(ctx context.Context, peer cellpb.Cell) (*cellpb.BatchResponse, cellpb.Outcome, error) {
 		resp, err := call(ctx, peer)
 		return resp, resp.GetOutcome(), err
 	})
--- a/internal/cell/node/storerouter_test.go
+++ b/internal/cell/node/storerouter_test.go
@@ -47,7 +47,7 @@
 }
 
 func newRouter(direct cell.Store, peers ...cellpb.Cell) *storeRouter {
-	return &storeRouter{direct: direct, proxies: func() []cellpb.Cell { return peers }, log: func(string, ...any) {}, newestTimeout: defaultNewestTimeout}
+	return &storeRouter{direct: direct, proxies: func() []cellpb.Cell { return peers }, log: func(string, ...any) {}, newestTimeout: defaultNewestTimeout, now: bootTime}
 }
 
 // TestStoreIsReachedThroughProxy guards a VM that alone has lost its direct
@@ -257,7 +257,9 @@
 	r := newRouter(store, &proxyPeer{router: newRouter(store)})
 	r.latency.Store(int64(slowStoreLatency))
 	ctx := context.Background()
-	time.AfterFunc(50*time.Millisecond, func() { r.recordAnswer(true, slowStoreLatency, slowStoreLatency, false) })
+	time.AfterFunc(50*time.Millisecond, func() {
+		r.recordAnswer(routeAnswer{isDirect: true, took: slowStoreLatency, directElapsed: slowStoreLatency, mayWait: false})
+	})
 	_, err := r.Append(ctx, cell.Append{Topic: cell.TopicJobs, ExpectedEnd: -1, Records: submissionRecords("a")})
 	is.NoErr(err)
 	is.Equal(store.appends.Load(), int32(1))
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -89,21 +90,34 @@
 type Body struct {
 	ctx      context.Context
 	body     io.ReadCloser
+	reports  bool
 	received int64
 }
 
-// NewBody returns a body that reports to the observers of ctx.
-func NewBody(ctx context.Context, body io.ReadCloser) *Body { return &Body{ctx: ctx, body: body} }
+// NewBody returns the body of a response that has begun to arrive for the call with this context.
+// Its bytes are reported. Those of a response whose status is not 200 are only counted: a peer that
+// refuses a call makes no progress with it.
+func NewBody(ctx context.Context, resp *http.Response) *Body {
+	b := &Body{ctx: ctx, body: resp.Body, reports: resp.StatusCode == http.StatusOK}
+	b.report()
+	return b
+}
 
 // Received returns the number of bytes that have been read.
 func (b *Body) Received() int64 { return b.received }
 
+func (b *Body) report() {
+	if b.reports {
+		Report(b.ctx)
+	}
+}
+
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	b.received += int64(n)
 	if n > 0 {
-		Report(b.ctx)
+		b.report()
 	}
 	return n, err
 }
