Refuse callers on a VM whose configuration is known to be outdated

Cause: the answers to hello messages carry the owner's version. A newer one only triggered a read; when the read failed, again and again, the VM went on with its own version for as long as that lasted.

Change: a VM keeps when it first heard of each version that it lacks.

--- a/cmd/gypsumwinchd/platform.go
+++ b/cmd/gypsumwinchd/platform.go
@@ -240,21 +240,22 @@
 // runOnPlatform calls it once at start.
 func nodeSettings(s platform.Settings, learnRunTimes bool) node.Settings {
 	return node.Settings{
-		Name:            s.Name,
-		DataCentre:      s.DataCentre,
-		PeerAddr:        s.PeerAddr,
-		MetricsAddr:     s.MetricsAddr,
-		CPUCores:        s.CPUShare,
-		MemoryMB:        s.MemoryMB,
-		LinkMbps:        s.LinkMbps,
-		LeaseLimit:      s.MaxLease,
-		GangTimeout:     s.GangTimeout,
-		StatusRetention: s.StatusRetention,
-		Grace:           s.GracePeriod,
-		RemoteFactor:    s.RemoteFactor,
-		QuotaOvershoot:  s.QuotaOvershoot,
-		LearnRunTimes:   learnRunTimes,
-		OnOwnership:     setGCPercent,
+		Name:             s.Name,
+		DataCentre:       s.DataCentre,
+		PeerAddr:         s.PeerAddr,
+		MetricsAddr:      s.MetricsAddr,
+		CPUCores:         s.CPUShare,
+		MemoryMB:         s.MemoryMB,
+		LinkMbps:         s.LinkMbps,
+		LeaseLimit:       s.MaxLease,
+		GangTimeout:      s.GangTimeout,
+		StatusRetention:  s.StatusRetention,
+		ConfigApplyLimit: s.ConfigApplyLimit,
+		Grace:            s.GracePeriod,
+		RemoteFactor:     s.RemoteFactor,
+		QuotaOvershoot:   s.QuotaOvershoot,
+		LearnRunTimes:    learnRunTimes,
+		OnOwnership:      setGCPercent,
 	}
 }
 
--- a/internal/cell/node/frontend.go
+++ b/internal/cell/node/frontend.go
@@ -30,9 +30,12 @@
 	maxConfigAge = 2500 * time.Millisecond
 )
 
-// Config returns the configuration in force, or nil if none has been read.
+// Config returns the configuration in force, or nil if none has been read or if it is outdated.
 // Each caller's request reads it to find its queue.
 func (n *Node) Config() *cell.Config {
+	if n.isConfigOutdated() {
+		return nil
+	}
 	return n.config.Load()
 }
 
@@ -40,7 +43,7 @@
 // It runs for each check of the readiness endpoint.
 func (n *Node) Ready() bool {
 	config := n.config.Load()
-	if n.isDraining.Load() || config == nil {
+	if n.isDraining.Load() || config == nil || n.isConfigOutdated() {
 		return false
 	}
 	if isFollower(n.settings) && !n.knowsAllJobs() {
--- a/internal/cell/node/hello.go
+++ b/internal/cell/node/hello.go
@@ -249,9 +249,7 @@
 	if o := resp.Owner; o != nil && structs.ValidateAddr(o.Addr) == nil {
 		n.setOwnerFromPeer(election.OwnerRecord{Term: o.Term, Node: o.Node, Addr: o.Addr, Instance: o.Instance, Resigned: o.Resigned})
 	}
-	if config := n.config.Load(); config != nil && resp.ConfigVersion > config.Version {
-		n.configReader.pollNow()
-	}
+	n.hearConfigVersion(resp.ConfigVersion)
 	return resp, nil
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -87,6 +87,9 @@
 	GangTimeout time.Duration
 	// StatusRetention is how long the state of a finished job is kept.
 	StatusRetention time.Duration
+	// ConfigApplyLimit is how long after its acknowledgement a configuration must be in force; 0
+	// if there is no such limit.
+	ConfigApplyLimit time.Duration
 	// Grace is the time between SIGTERM and SIGKILL. The node does not use it.
 	Grace          time.Duration
 	RemoteFactor   float64
@@ -136,6 +139,7 @@
 
 	// config is the configuration in force, or nil.
 	config         atomic.Pointer[cell.Config]
+	configLag      configLag
 	jobsReader     *topicReader
 	progressReader *topicReader
 	configReader   *topicReader
--- a/internal/cell/node/topics.go
+++ b/internal/cell/node/topics.go
@@ -94,6 +94,7 @@
 			continue
 		}
 		n.config.Store(config)
+		n.configLag.putInForce(config.Version)
 		n.customerMetrics.keepOnly(config.Customers)
 		n.log.Info("configuration is in force", "version", config.Version, "queues", len(config.Queues), "customers", customerCount(config))
 	}
