Let the first reads of the list of workers go on while data arrives

Change: the limit applies to the time without progress.

Evidence: TestListOfWorkersIsLoadedOverNarrowLinks failed before (143 KB of the second page received when the attempt ended).

--- a/internal/cell/node/largebatch_test.go
+++ b/internal/cell/node/largebatch_test.go
@@ -45,3 +45,25 @@
 		})
 	}
 }
+
+// TestListOfWorkersIsLoadedOverNarrowLinks guards against a new owner with a narrow link that places nothing for seconds, since its first reads of the list of workers are cut off while they move.
+func TestListOfWorkersIsLoadedOverNarrowLinks(t *testing.T) {
+	const workers, entryBytes = 1300, 300
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runCell(t, 4, 1, 2, 640, func(ctx context.Context, c *simulatedCell) {
+			for i := range workers {
+				is.NoErr(c.store.Write(workersTopic, cell.KeyValue{Key: fmt.Sprintf("i-%08d", i), Value: bytes.Repeat([]byte{'x'}, entryBytes)}))
+			}
+			owner := c.vms[len(c.vms)-1]
+			read := 0
+			tracker := &workerTracker{reader: readerOf(owner.router, cell.TopicWorkers, func(records []cell.KeyValue) { read += len(records) })}
+			before, begin := owner.host.down.carried.Load(), time.Now()
+			is.NoErr(tracker.load(ctx, 1))
+			is.Equal(read, workers)
+			transferred := float64(owner.host.down.carried.Load() - before)
+			is.True(time.Since(begin).Seconds() < transferred/owner.host.down.bytesPerSecond+0.5)
+			is.True(transferred < 2*workers*entryBytes) // one copy, in base64
+		})
+	})
+}
--- a/internal/cell/node/ownership.go
+++ b/internal/cell/node/ownership.go
@@ -16,6 +16,7 @@
 	"gypsumwinch/internal/cell/cellpb"
 	"gypsumwinch/internal/cell/election"
 	"gypsumwinch/internal/cell/owner"
+	"gypsumwinch/internal/progress"
 )
 
 const (
@@ -296,10 +297,10 @@
 	}
 }
 
-// firstListTimeout bounds the first attempts of a new owner to read the list of workers. An
-// attempt that began in an outage of the store is not answered after its end either, and the
-// owner places nothing without the list. listAttempts is the number of these attempts before one
-// that takes as long as a large list on a slow link may.
+// firstListTimeout bounds the time without progress of the first attempts of a new owner to read
+// the list of workers. An attempt that began in an outage of the store is not answered after its end
+// either, and the owner places nothing without the list. listAttempts is the number of these attempts
+// before one that may wait longer, as for a store proxy, which answers with the whole list.
 const (
 	firstListTimeout = 1500 * time.Millisecond
 	listAttempts     = 3
@@ -329,7 +330,7 @@
 func (t *workerTracker) load(ctx context.Context, attempt int) error {
 	if attempt%(listAttempts+1) != 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, firstListTimeout)
+		ctx, cancel = progress.WithStallTimeout(ctx, firstListTimeout, firstListTimeout)
 		defer cancel()
 	}
 	_, err := t.reader.read(ctx, 0)
