--- a/internal/cell/node/sharedconfig.go
+++ b/internal/cell/node/sharedconfig.go
@@ -34,20 +34,13 @@
 // The answer says that more records follow, so that its reader goes on with a read of the store: what
 // this VM has read may be a second old.
 func (s *sharedConfig) readAfter(ctx context.Context, from int64) *cellpb.BatchResponse {
-	for s.reader.nextOffset.Load() <= from {
-		if s.reader.mu.TryLock() {
-			s.reader.mu.Unlock()
-			return nil
-		}
+	for s.reader.nextOffset.Load() <= from && s.reader.isReading() && ctx.Err() == nil {
 		sleep(ctx, sharedConfigCheckInterval)
-		if ctx.Err() != nil {
-			return nil
-		}
 	}
-	// The position is read first: the record may be one of a later read, but not an older one.
+	// The position is read before the record, which may be one of a later read, but not an older one.
 	next := s.reader.nextOffset.Load()
 	record := s.record.Load()
-	if record == nil || s.reader.now()-time.Duration(s.reader.lastReadAt.Load()) > maxSharedConfigAge {
+	if next <= from || record == nil || s.reader.now()-time.Duration(s.reader.lastReadAt.Load()) > maxSharedConfigAge {
 		return nil
 	}
 	return &cellpb.BatchResponse{Outcome: cellpb.Outcome_DONE, Records: recordsToProto([]cell.KeyValue{*record}), Next: next, End: next + 1}
--- a/internal/cell/node/topicreader.go
+++ b/internal/cell/node/topicreader.go
@@ -175,6 +175,15 @@
 	}
 }
 
+// isReading reports whether a read is in flight.
+func (t *topicReader) isReading() bool {
+	if t.mu.TryLock() {
+		t.mu.Unlock()
+		return false
+	}
+	return true
+}
+
 // recordRead records a read to the end of the topic that was sent at sentAt. read and
 // loadNewest call it once its records are applied.
 func (t *topicReader) recordRead(sentAt time.Duration) {
