--- a/internal/cell/node/peerclient.go
+++ b/internal/cell/node/peerclient.go
@@ -31,7 +31,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t progressTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	if req.Body != nil {
+	if req.Body != nil && req.Body != http.NoBody {
 		reported := *req // a RoundTripper must not change the request
 		reported.Body = progress.NewRequestBody(req.Context(), req.Body)
 		req = &reported
