--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -63,12 +63,14 @@
 	mu         sync.Mutex
 	violations []string
 	// holders has the VM and the instance of its process that have used each term.
-	holders  map[int64]string
-	owner    string
-	owners   int
-	version  int64
-	sequence int64
-	faults   storeFaults
+	holders map[int64]string
+	owner   string
+	owners  int
+	version int64
+	// unusedRoutes is the number of routes that no caller uses.
+	unusedRoutes int
+	sequence     int64
+	faults       storeFaults
 	// removedVMs counts the VMs that are gone for good.
 	removedVMs int
 	// faultSpans are the times of the faults that were injected.
@@ -304,15 +306,32 @@
 	defer c.publishing.Unlock()
 	c.mu.Lock()
 	c.version++
-	version := c.version
+	version, unused := c.version, c.unusedRoutes
 	c.mu.Unlock()
-	routes := append(queues(), storeserver.Route{Name: "version", Host: host, PathPrefix: versionPath(version), Service: service, MaxAttempts: 1, SlackFactor: 2})
+	routes := append(queues(), unusedRoutes(unused)...)
+	routes = append(routes, storeserver.Route{Name: "version", Host: host, PathPrefix: versionPath(version), Service: service, MaxAttempts: 1, SlackFactor: 2})
 	if c.customers != nil {
 		return eris.Wrap(c.publishCustomers(version, routes), "publish configuration")
 	}
 	return eris.Wrap(c.store.PublishConfig(version, routes, service), "publish configuration")
 }
 
+// addRoutes adds routes that no caller uses to the configurations to come.
+func (c *cluster) addRoutes(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unusedRoutes += n
+}
+
+func unusedRoutes(n int) []storeserver.Route {
+	routes := make([]storeserver.Route, 0, n)
+	for i := range n {
+		name := fmt.Sprintf("unused-%d", i)
+		routes = append(routes, storeserver.Route{Name: name, Host: host, PathPrefix: "/" + name + "/", Service: service, MaxAttempts: maxAttempts, SlackFactor: 2, TargetLatencyMs: 2000})
+	}
+	return routes
+}
+
 // newestVersion returns the version of the newest configuration.
 func (c *cluster) newestVersion() int64 {
 	c.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,6 +17,8 @@
 	// linkDelay is the delay of each direction of a slow link. Starts are repeated after
 	// 0.12 s, so that they overlap.
 	linkDelay = 100 * time.Millisecond
+	// narrowLink is the rate of a connection over a narrow link, in bytes a second.
+	narrowLink = 2e6 / 8
 	// storeLossShare is the share of the appends that lose their answers.
 	storeLossShare = 0.3
 	// orderFaultShare is the share of the orders that a worker does not answer.
@@ -99,6 +101,11 @@
 		v.callerProxy.Reset()
 	case Publish:
 		c.publishOrReport()
+	case GrowConfig:
+		c.addRoutes(f.Target)
+		c.publishOrReport()
+	case NarrowStoreLinks:
+		c.forEachVM(func(v *vm) { v.storeProxy.SetState(LinkState{BytesPerSecond: narrowLink}) })
 	case PublishSeries:
 		for range seriesLength {
 			c.publishOrReport()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -27,6 +27,8 @@
 type LinkState struct {
 	// Delay is added to each block of bytes.
 	Delay time.Duration
+	// BytesPerSecond limits each direction of each connection; 0 if there is no limit.
+	BytesPerSecond float64
 	// DropRequests and DropAnswers silently discard the bytes of one direction. A
 	// connection that has lost bytes stays silent for good, as after a partition whose
 	// sender gave up.
@@ -34,6 +36,14 @@
 	DropAnswers  bool
 }
 
+// transferTime returns how long a proxy holds a block of so many bytes.
+func (s LinkState) transferTime(bytes int) time.Duration {
+	if s.BytesPerSecond == 0 {
+		return s.Delay
+	}
+	return s.Delay + time.Duration(float64(bytes)/s.BytesPerSecond*float64(time.Second))
+}
+
 // copyBuffer is the size of the blocks that a proxy passes on.
 const copyBuffer = 16 << 10
 
@@ -141,7 +151,7 @@
 		s := p.State()
 		hasDropped = hasDropped || n > 0 && drops(s)
 		if n > 0 && !hasDropped {
-			time.Sleep(s.Delay)
+			time.Sleep(s.transferTime(n))
 			passed()
 			if _, err := to.Write(buffer[:n]); err != nil {
 				reset(from)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -98,6 +98,11 @@
 	Publish Kind = "publish"
 	// PublishSeries publishes ten configurations in quick succession.
 	PublishSeries Kind = "publish-series"
+	// GrowConfig publishes a configuration with Target routes more.
+	GrowConfig Kind = "grow-config"
+	// NarrowStoreLinks limits the links of all VMs to the store to narrowLink for the rest of the run;
+	// they do not count as disrupted.
+	NarrowStoreLinks Kind = "narrow-store-links"
 )
 
 // kinds lists the kinds that DrawSchedule draws, each as likely as it is listed.
@@ -110,6 +115,9 @@
 	Publish, PublishSeries,
 }
 
+// scriptedKinds lists the kinds that only schedules from files have.
+var scriptedKinds = []Kind{GrowConfig, NarrowStoreLinks}
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	// At is the time from the start of the traffic.
@@ -224,7 +232,7 @@
 		return Schedule{}, eris.Wrapf(err, "decode schedule %s", path)
 	}
 	for i, f := range s.Faults {
-		if !slices.Contains(kinds, f.Kind) {
+		if !slices.Contains(kinds, f.Kind) && !slices.Contains(scriptedKinds, f.Kind) {
 			return Schedule{}, eris.Errorf("schedule %s: fault %d has unknown kind %q", path, i, f.Kind)
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,6 +57,19 @@
 	is.True(result.Completed > 0)
 }
 
+// TestGrowingConfigurationIsInForceOverNarrowLinks guards against a real daemon that never has a large configuration in force, since each read of it is cut off (issue 52).
+func TestGrowingConfigurationIsInForceOverNarrowLinks(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	s, err := ReadSchedule(filepath.Join("testdata", "growing-configuration.yaml"))
+	is.NoErr(err)
+	result, err := Run(s, Options{Daemon: buildDaemon(t, dir), Dir: filepath.Join(dir, "run")})
+	is.NoErr(err)
+	result.Print(testWriter{t})
+	is.Equal(result.Violations, nil)
+	is.True(result.Completed > 0)
+}
+
 // buildDaemon builds the daemon in a directory and returns its path.
 func buildDaemon(t *testing.T, dir string) string {
 	t.Helper()
